--- /dev/null
+++ b/commands/control.go
@@ -0,0 +1,196 @@
+package commands
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"dotterelgap/core/raft"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/disk"
+	"dotterelgap/io/wire"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+)
+
+var controlKeys = []string{
+	"listen", "internal", "control", "data_dir", "size", "first_operator", "stop_timeout",
+	"ca_file", "cert_file", "key_file", "log_level", "log_format", "trace_file", "trace_share",
+}
+
+func newControl(t *terminal) *ffcli.Command {
+	s := defaultSettings()
+	flags := newFlagSet(t, "dotterelgap control")
+	options := s.bind(flags, controlKeys...)
+	first := flags.Bool("bootstrap", false, "form a new control group; for the very first start of one host only")
+	return &ffcli.Command{
+		Name:       "control",
+		ShortUsage: "dotterelgap control [flags]",
+		ShortHelp:  "keeps configuration and budgets, on a host with a disk",
+		LongHelp: help(`
+Keeps the replicated log. One host is started once with -bootstrap; the others,
+and every later host, join the group that they find at -control. A host whose
+data folder is empty is a new member, whatever its address.
+
+Example:
+  dotterelgap control -internal 10.0.0.1:7300 -listen 10.0.0.1:7400 -data-dir /var/lib/dotterelgap \
+    -control 10.0.0.1:7300,10.0.1.1:7300,10.0.2.1:7300 -first-operator DIGEST -bootstrap
+`),
+		FlagSet: flags,
+		Options: options,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			if err := s.check("listen", "internal", "control", "data_dir"); err != nil {
+				return err
+			}
+			return runControl(ctx, s, *first)
+		},
+	}
+}
+
+func runControl(ctx context.Context, s *Settings, bootstrap bool) error {
+	p, err := startProcess(s, "control")
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	c, err := startControl(ctx, p, s, ln, bootstrap, stop)
+	if err != nil {
+		return err
+	}
+	p.Log.Info("control: listening", zap.Stringer("operators", ln.Addr()), zap.Stringer("internal", p.server.Addr()))
+	err = p.runUntilDone(ctx, s, "control", c)
+	var failed *diskFailedError
+	if errors.As(context.Cause(ctx), &failed) {
+		return failed
+	}
+	return err
+}
+
+type diskFailedError struct{ err error }
+
+func (e *diskFailedError) Error() string { return "the data folder failed: " + e.err.Error() }
+
+// controlRole is a running control host with its operators' API.
+type controlRole struct {
+	host   *ctrl.Host
+	server *wire.Server
+	http   *http.Server
+	cancel context.CancelFunc
+}
+
+// Close implements stopper. A control host has no requests to wait for.
+func (c *controlRole) Close(ctx context.Context) (int, error) {
+	c.cancel()
+	err := c.http.Shutdown(ctx)
+	hostErr := c.host.Close()
+	return 0, trace.NewAggregate(err, hostErr, c.server.Close(ctx))
+}
+
+func startControl(ctx context.Context, p *process, s *Settings, ln net.Listener, bootstrap bool, stop context.CancelCauseFunc) (*controlRole, error) {
+	self := p.server.Addr()
+	store, id, saved, err := openFolder(ctx, p, s, self, bootstrap)
+	if err != nil {
+		return nil, err
+	}
+	h, err := ctrl.Start(ctrl.Deps{
+		Log: p.Log, Store: store, Identity: id, Saved: saved, Pool: p.pool, Addr: self,
+		Size: s.Size, FirstOperator: s.FirstOperator, Rand: p.rnd,
+		Fatal: func(err error) { stop(&diskFailedError{err}) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := p.server.Register("Control", ctrl.NewService(h)); err != nil {
+		return nil, err
+	}
+	p.server.Serve()
+	client := ctrl.NewClient(p.pool, append(s.controlAddrs(), self))
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", ctrl.AdminHandler(client))
+	mux.Handle("GET /metrics", p.Metrics())
+	role := &controlRole{host: h, server: p.server, http: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
+	joinCtx, cancel := context.WithCancel(ctx)
+	role.cancel = cancel
+	go func() { _ = role.http.Serve(ln) }()
+	if len(saved.Snapshot.Members.Members) == 0 {
+		go joinGroup(joinCtx, p.Log, client, raft.Member{ID: id.Member, Addr: self})
+	}
+	return role, nil
+}
+
+// openFolder opens the data folder, or makes one for a new member.
+func openFolder(ctx context.Context, p *process, s *Settings, self netip.AddrPort, bootstrap bool) (*disk.Store, disk.Identity, raft.Saved, error) {
+	store, id, saved, err := disk.Open(disk.OS(), s.DataDir)
+	if err == nil {
+		if bootstrap {
+			p.Log.Info("control: the folder belongs to a group already; -bootstrap does nothing")
+		}
+		return store, id, saved, nil
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return nil, id, saved, err
+	}
+	id = disk.Identity{Member: raft.MemberID(p.rnd.Uint64() | 1)}
+	var first raft.Snapshot
+	if bootstrap {
+		if err := refuseSecondGroup(ctx, p, s, self); err != nil {
+			return nil, id, saved, err
+		}
+		first = raft.Bootstrap(raft.Member{ID: id.Member, Addr: self}).Snapshot
+	}
+	if err := disk.Create(disk.OS(), s.DataDir, id, first); err != nil {
+		return nil, id, saved, err
+	}
+	p.Log.Info("control: new data folder", zap.String("member", fmt.Sprintf("%x", uint64(id.Member))))
+	return disk.Open(disk.OS(), s.DataDir)
+}
+
+// refuseSecondGroup keeps a host that lost its folder from forming a group
+// beside the one that it belonged to.
+func refuseSecondGroup(ctx context.Context, p *process, s *Settings, self netip.AddrPort) error {
+	for _, addr := range s.controlAddrs() {
+		if addr == self {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		var exists bool
+		err := p.pool.Call(ctx, addr, "Control.Exists", &wire.Empty{}, &exists)
+		cancel()
+		if err == nil && exists {
+			return &UsageError{Message: fmt.Sprintf("%s belongs to a group already; start without -bootstrap to join it", addr)}
+		}
+	}
+	return nil
+}
+
+// joinGroup asks the group to take this host in, until it is a member.
+func joinGroup(ctx context.Context, log *zap.Logger, client *ctrl.Client, self raft.Member) {
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, 2*time.Second)
+		reply, err := ctrl.Call[wire.JoinReply](try, client, "Control.Join", &wire.JoinArgs{Member: self})
+		cancel()
+		if err == nil && reply.Voter {
+			log.Info("control: this host votes now")
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/commands/doc.go
@@ -0,0 +1,6 @@
+// Package commands is the command line: one file per subcommand.
+//
+// # Usage
+//
+//	os.Exit(commands.Execute(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+package commands
--- /dev/null
+++ b/commands/operator.go
@@ -0,0 +1,79 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"dotterelgap/io/admin"
+
+	"github.com/gravitational/trace"
+)
+
+// operatorFlags are the flags of all commands that use the administration API.
+type operatorFlags struct {
+	addrs string
+	key   string
+	json  bool
+}
+
+func (o *operatorFlags) bind(fs *flag.FlagSet) {
+	fs.StringVar(&o.addrs, "admin", "http://127.0.0.1:7400", "base URLs of control hosts, with commas between")
+	fs.StringVar(&o.key, "operator-key", "", "operator's bearer key (better: DOTTERELGAP_OPERATOR_KEY)")
+	fs.BoolVar(&o.json, "json", false, "print JSON")
+}
+
+func (o *operatorFlags) client() *admin.Client {
+	return admin.NewClient(strings.Split(o.addrs, ","), o.key)
+}
+
+// printJSON prints v indented.
+func (t *terminal) printJSON(v any) error {
+	enc := json.NewEncoder(t.out)
+	enc.SetIndent("", "  ")
+	return trace.Wrap(enc.Encode(v))
+}
+
+func (t *terminal) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(t.out, format, args...)
+}
+
+// oneFile takes the one argument that names a document.
+func oneFile(args []string) (name string, data []byte, err error) {
+	if len(args) != 1 {
+		return "", nil, &UsageError{Message: "one document is needed"}
+	}
+	data, err = os.ReadFile(args[0])
+	if err != nil {
+		return "", nil, &UsageError{Message: err.Error()}
+	}
+	return args[0], data, nil
+}
+
+func printCustomer(t *terminal, c admin.CustomerReply) {
+	t.printf("customer %s: paid %d, billed %d, free %d, granted %d (of that spent %d)\n",
+		c.Name, c.Paid, c.Billed, c.Free, c.Granted, c.Spent)
+	for _, g := range c.Grants {
+		t.printf("  grant %d in %s at %s: %d of %d outstanding, spent %d", g.ID, g.Place, g.Holder, g.Outstanding, g.Amount, g.Spent)
+		if g.Doubt != "" {
+			t.printf(" (%s)", g.Doubt)
+		}
+		t.printf("\n")
+	}
+}
+
+// repeatUntil calls step until it says that it is done or ctx ends.
+func repeatUntil(ctx context.Context, step func() (bool, error)) error {
+	for {
+		done, err := step()
+		if err != nil || done {
+			return err
+		}
+		if err := pause(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/commands/script_test.go
@@ -0,0 +1,132 @@
+package commands_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelgap/commands"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// awaitLimit bounds every wait of a script.
+const awaitLimit = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"dotterelgap": func() {
+			os.Exit(commands.Execute(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+		},
+	})
+}
+
+// TestScript runs the scripts under testdata, each process for real.
+func TestScript(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports":  cmdPorts,
+			"call":   cmdCall,
+			"await":  cmdAwait,
+			"repeat": cmdRepeat,
+		},
+	})
+}
+
+// cmdPorts sets variables to free loopback addresses: ports NAME...
+func cmdPorts(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		defer func() { _ = ln.Close() }()
+		ts.Setenv(name, ln.Addr().String())
+	}
+}
+
+// cmdCall sends a request and writes status, headers and body to the file
+// "reply": call METHOD URL [-key KEY] [-id IDEMPOTENCY] [-body FILE]
+func cmdCall(ts *testscript.TestScript, neg bool, args []string) {
+	status, text, err := call(ts, args)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("reply"), []byte(text), 0o600))
+	if ok := status >= 200 && status < 300; ok == neg {
+		ts.Fatalf("unexpected answer:\n%s", text)
+	}
+}
+
+func call(ts *testscript.TestScript, args []string) (int, string, error) {
+	var body io.Reader
+	header := http.Header{}
+	for i := 2; i+1 < len(args); i += 2 {
+		switch args[i] {
+		case "-key":
+			header.Set("Authorization", "Bearer "+args[i+1])
+		case "-id":
+			header.Set("Idempotency-Key", args[i+1])
+		case "-type":
+			header.Set("Content-Type", args[i+1])
+		case "-body":
+			if header.Get("Content-Type") == "" {
+				header.Set("Content-Type", "application/json")
+			}
+			body = strings.NewReader(ts.ReadFile(args[i+1]))
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, args[0], args[1], body)
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header = header
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, readErr := io.ReadAll(resp.Body)
+	text := fmt.Sprintf("status %d\noutcome %s%s\n%s\n", resp.StatusCode,
+		resp.Header.Get("Dotterelgap-Outcome"), resp.Trailer.Get("Dotterelgap-Outcome"), data)
+	if readErr != nil {
+		text += "broken off: " + readErr.Error() + "\n"
+	}
+	return resp.StatusCode, text, nil
+}
+
+// cmdAwait waits until a URL answers 200 and its body holds a text:
+// await URL [TEXT]
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	last := ""
+	for end := time.Now().Add(awaitLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		status, text, err := call(ts, []string{http.MethodGet, args[0]})
+		last = fmt.Sprint(text, err)
+		if err == nil && status == http.StatusOK && (len(args) < 2 || strings.Contains(text, args[1])) {
+			return
+		}
+	}
+	ts.Fatalf("%s: gave up; the last answer was:\n%s", args[0], last)
+}
+
+// cmdRepeat runs a command of the program until its output holds a text:
+// repeat TEXT dotterelgap ARGS...
+func cmdRepeat(ts *testscript.TestScript, _ bool, args []string) {
+	var out string
+	for end := time.Now().Add(awaitLimit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		err := ts.Exec(args[1], args[2:]...)
+		out = ts.ReadFile("stdout") + ts.ReadFile("stderr")
+		want, e := strconv.Unquote(`"` + args[0] + `"`)
+		ts.Check(e)
+		if err == nil && strings.Contains(out, want) {
+			return
+		}
+	}
+	ts.Fatalf("%v: gave up; the last output was:\n%s", args, out)
+}
--- /dev/null
+++ b/core/escrow/holder.go
@@ -0,0 +1,376 @@
+package escrow
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"dotterelgap/core/fleet"
+)
+
+// Holder is the machine of one entry that reserves tokens for requests out of
+// the grants that it holds.
+type Holder struct {
+	self         fleet.NodeID
+	place        fleet.Place
+	opts         Options
+	purses       map[string]*purse
+	grants       map[GrantID]*held
+	reservations map[string]*reservation
+	draining     bool
+}
+
+type reservation struct {
+	customer string
+	borrower fleet.NodeID
+	parts    []Part
+}
+
+// NewHolder returns a holder without grants for an entry in a place.
+func NewHolder(self fleet.NodeID, place fleet.Place, opts Options) *Holder {
+	return &Holder{
+		self:         self,
+		place:        place,
+		opts:         opts,
+		purses:       map[string]*purse{},
+		grants:       map[GrantID]*held{},
+		reservations: map[string]*reservation{},
+	}
+}
+
+// Reserve asks for the worst case of an attempt. The verdict may come at once
+// or with a later input. A repeated ID gets the same parts again.
+func (h *Holder) Reserve(now time.Time, req Request, fx *Effects) {
+	if r, ok := h.reservations[req.ID]; ok {
+		fx.Verdicts = append(fx.Verdicts, Verdict{ID: req.ID, Parts: r.parts})
+		return
+	}
+	p := h.purse(req.Customer, now)
+	if h.draining {
+		fx.Verdicts = append(fx.Verdicts, Verdict{ID: req.ID, Reason: ReasonUnreachable})
+		return
+	}
+	p.waiting = append(p.waiting, waiting{req: req, deadline: now.Add(h.opts.WaitLimit)})
+	h.serve(now, p, fx)
+}
+
+// Release ends a reservation: used tokens are spent, the rest is free again.
+// Releasing twice, or an unknown reservation, changes nothing.
+func (h *Holder) Release(now time.Time, id string, used Tokens, fx *Effects) {
+	r, ok := h.reservations[id]
+	if !ok {
+		h.forget(id)
+		return
+	}
+	delete(h.reservations, id)
+	spent := Split(r.parts, used)
+	for i, part := range r.parts {
+		g := h.grants[part.Grant]
+		g.reserved -= part.Amount
+		g.spent += spent[i].Amount
+	}
+	p := h.purse(r.customer, now)
+	p.rate.add(now, float64(used))
+	h.serve(now, p, fx)
+	h.closeDone(p, fx)
+}
+
+// forget drops a request that still waits, since its caller is gone.
+func (h *Holder) forget(id string) {
+	for _, p := range h.purses {
+		p.waiting = slices.DeleteFunc(p.waiting, func(w waiting) bool { return w.req.ID == id })
+	}
+}
+
+// AddGrant takes in the grant that the ledger opened for refill seq.
+func (h *Holder) AddGrant(now time.Time, seq uint64, g Grant, fx *Effects) {
+	p := h.purse(g.Customer, now)
+	if seq != p.seq || g.Holder != h.self {
+		return
+	}
+	p.answered(now)
+	h.hold(p, newHeld(g))
+	p.stocked = p.ahead()
+	if h.draining {
+		h.grants[g.ID].close(now, fx)
+	}
+	h.serve(now, p, fx)
+}
+
+// TakeOver tries to hold the unclaimed rest of a dead holder's grant.
+func (h *Holder) TakeOver(now time.Time, g Grant, fx *Effects) {
+	if _, ok := h.grants[g.ID]; ok || h.draining || len(g.Witnesses) == 0 {
+		return
+	}
+	held := newHeld(g)
+	h.hold(h.purse(g.Customer, now), held)
+	held.prepare(now, FirstBallot(g).Round+1, h.self, fx)
+}
+
+func (h *Holder) hold(p *purse, g *held) {
+	h.grants[g.grant.ID] = g
+	p.grants = append(p.grants, g)
+}
+
+// Deny takes in the ledger's answer that there is nothing more to grant.
+func (h *Holder) Deny(now time.Time, d Denial, fx *Effects) {
+	p := h.purse(d.Customer, now)
+	if d.Seq != p.seq {
+		return
+	}
+	p.answered(now)
+	p.denied = true
+	p.recalling = d.Recalling
+	p.nextRefill = now.Add(h.opts.RefillInterval)
+	h.serve(now, p, fx)
+}
+
+// RefillFailed says that no answer to a refill came. It is asked again with the
+// same number, since the ledger may have opened the grant.
+func (h *Holder) RefillFailed(now time.Time, customer string, fx *Effects) {
+	p := h.purse(customer, now)
+	p.asking = false
+	p.denied = false
+	p.cutOff = true
+	p.nextRefill = now.Add(h.opts.RefillInterval)
+	h.serve(now, p, fx)
+}
+
+// OnClaim takes in a witness's answer.
+func (h *Holder) OnClaim(now time.Time, r ClaimReply, fx *Effects) {
+	g, ok := h.grants[r.Grant]
+	if !ok {
+		return
+	}
+	p := h.purse(g.grant.Customer, now)
+	g.onReply(now, r, fx)
+	h.serve(now, p, fx)
+	h.closeDone(p, fx)
+}
+
+// Recall asks to give back grants of a customer that are not in use, so that
+// another place can have their rest. The newest demand keeps what it needs.
+func (h *Holder) Recall(now time.Time, id GrantID, fx *Effects) {
+	g, ok := h.grants[id]
+	if !ok {
+		return
+	}
+	g.close(now, fx)
+	h.closeDone(h.purse(g.grant.Customer, now), fx)
+}
+
+// Drain gives all grants back as soon as their reservations have ended.
+func (h *Holder) Drain(now time.Time, fx *Effects) {
+	h.draining = true
+	for _, c := range slices.Sorted(maps.Keys(h.purses)) {
+		p := h.purses[c]
+		for _, g := range p.grants {
+			g.close(now, fx)
+		}
+		h.closeDone(p, fx)
+	}
+}
+
+// Drained tells whether nothing is held any more.
+func (h *Holder) Drained() bool {
+	return h.draining && len(h.grants) == 0
+}
+
+// BorrowerLost says that an entry is taken for dead. What it used is only known
+// at the agents, so the ledger settles the grants that it had loans of.
+func (h *Holder) BorrowerLost(now time.Time, borrower fleet.NodeID, fx *Effects) {
+	if borrower == h.self {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.reservations)) {
+		r := h.reservations[id]
+		if r.borrower == borrower {
+			h.Abandon(now, id, fx)
+		}
+	}
+}
+
+// Abandon gives up on a reservation whose use can't be found out here. Its
+// grants are closed and settled by the ledger from the agents' reports.
+func (h *Holder) Abandon(now time.Time, id string, fx *Effects) {
+	r, ok := h.reservations[id]
+	if !ok {
+		return
+	}
+	delete(h.reservations, id)
+	for _, part := range r.parts {
+		g := h.grants[part.Grant]
+		g.reserved -= part.Amount
+		g.shared = true
+		g.close(now, fx)
+	}
+	h.closeDone(h.purse(r.customer, now), fx)
+}
+
+// Fenced says that an agent refused a grant that the ledger is settling. What
+// is reserved stays until its requests end; nothing new is reserved from it.
+func (h *Holder) Fenced(now time.Time, id GrantID, fx *Effects) {
+	g, ok := h.grants[id]
+	if !ok {
+		return
+	}
+	g.lost = true
+	g.shared = true
+	g.close(now, fx)
+	h.closeDone(h.purse(g.grant.Customer, now), fx)
+}
+
+// Tick retries claims and refills, ends waits and reports spends. Calling it
+// every 50 ms to 1 s is enough.
+func (h *Holder) Tick(now time.Time, fx *Effects) {
+	for _, c := range slices.Sorted(maps.Keys(h.purses)) {
+		p := h.purses[c]
+		for _, g := range p.grants {
+			if g.claiming() && now.Sub(g.sentAt) >= h.opts.ClaimRetry {
+				g.send(now, fx)
+			}
+		}
+		h.serve(now, p, fx)
+		h.expire(now, p, fx)
+		h.report(now, p, fx)
+		h.closeDone(p, fx)
+	}
+}
+
+// serve gives waiting requests what there is, in order, and asks for more.
+func (h *Holder) serve(now time.Time, p *purse, fx *Effects) {
+	kept := p.waiting[:0]
+	for _, w := range p.waiting {
+		parts := p.allocate(w.req.Worst)
+		if parts == nil {
+			kept = append(kept, w)
+			continue
+		}
+		h.reservations[w.req.ID] = &reservation{customer: p.customer, borrower: w.req.Borrower, parts: parts}
+		fx.Verdicts = append(fx.Verdicts, Verdict{ID: w.req.ID, Parts: parts})
+	}
+	p.waiting = kept
+	p.claimMore(now, h.opts, fx)
+	h.refill(now, p, fx)
+	h.refuseHopeless(p, fx)
+}
+
+// refuseHopeless refuses requests for which waiting can bring nothing: the
+// ledger has no more, no other holder is asked, and nothing here comes free.
+func (h *Holder) refuseHopeless(p *purse, fx *Effects) {
+	if !p.denied || p.recalling {
+		return
+	}
+	coming := p.coming()
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waiting) bool {
+		if w.req.Worst <= coming {
+			return false
+		}
+		fx.Verdicts = append(fx.Verdicts, Verdict{ID: w.req.ID, Reason: ReasonExhausted})
+		return true
+	})
+}
+
+func (h *Holder) expire(now time.Time, p *purse, fx *Effects) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waiting) bool {
+		if now.Before(w.deadline) {
+			return false
+		}
+		fx.Verdicts = append(fx.Verdicts, Verdict{ID: w.req.ID, Reason: p.reason()})
+		return true
+	})
+}
+
+func (h *Holder) refill(now time.Time, p *purse, fx *Effects) {
+	if h.draining || p.asking || now.Before(p.nextRefill) {
+		return
+	}
+	have := p.ahead()
+	need := max(p.wanted()-have, 0)
+	rate := p.rate.perSecond(now)
+	stock := Tokens(math.Ceil(rate * h.opts.Horizon.Seconds()))
+	if need == 0 && !p.low(have, stock, h.opts.RefillBelow) {
+		return
+	}
+	if need == 0 && p.denied && now.Before(p.nextRefill.Add(h.opts.ReportInterval)) {
+		return
+	}
+	p.asking = true
+	fx.Refills = append(fx.Refills, Refill{
+		Holder: h.self, Place: h.place, Customer: p.customer, Seq: p.seq,
+		Rate: rate, Have: have, Need: need, Horizon: h.opts.Horizon.Seconds(),
+	})
+	if p.cutOff && need > 0 {
+		fx.Searches = append(fx.Searches, p.customer)
+	}
+}
+
+func (h *Holder) report(now time.Time, p *purse, fx *Effects) {
+	if now.Sub(p.reportedAt) < h.opts.ReportInterval {
+		return
+	}
+	p.reportedAt = now
+	for _, g := range p.grants {
+		if g.spent == g.reported {
+			continue
+		}
+		g.reported = g.spent
+		fx.Spends = append(fx.Spends, Spend{Grant: g.grant.ID, Holder: h.self, Spent: g.spent})
+	}
+}
+
+func (h *Holder) closeDone(p *purse, fx *Effects) {
+	p.grants = slices.DeleteFunc(p.grants, func(g *held) bool {
+		if !g.done() {
+			h.confine(g, fx)
+			return false
+		}
+		delete(h.grants, g.grant.ID)
+		fx.Closes = append(fx.Closes, Close{
+			Grant: g.grant.ID, Holder: h.self, Spent: g.spent,
+			Final: !g.shared && g.ballot == FirstBallot(g.grant),
+		})
+		return true
+	})
+}
+
+// confine gives the unreserved rest of a closing grant back early.
+func (h *Holder) confine(g *held, fx *Effects) {
+	if !g.closing || g.confined || g.shared || g.claiming() {
+		return
+	}
+	g.confined = true
+	fx.Closes = append(fx.Closes, Close{Grant: g.grant.ID, Holder: h.self, Spent: g.spent, Open: g.reserved, Final: true})
+}
+
+func (h *Holder) purse(customer string, now time.Time) *purse {
+	p, ok := h.purses[customer]
+	if !ok {
+		p = newPurse(customer, now, h.opts)
+		h.purses[customer] = p
+	}
+	return p
+}
+
+// Balance is what the holder has of a customer's tokens.
+type Balance struct {
+	Free     Tokens `json:"free"`
+	Reserved Tokens `json:"reserved"`
+	Spent    Tokens `json:"spent"`
+}
+
+// Balance returns what is held for a customer in the open grants.
+func (h *Holder) Balance(customer string) Balance {
+	p, ok := h.purses[customer]
+	if !ok {
+		return Balance{}
+	}
+	var b Balance
+	for _, g := range p.grants {
+		b.Free += g.ahead()
+		b.Reserved += g.reserved
+		b.Spent += g.spent
+	}
+	return b
+}
--- /dev/null
+++ b/core/escrow/meter.go
@@ -0,0 +1,258 @@
+package escrow
+
+import (
+	"maps"
+	"slices"
+
+	"dotterelgap/core/fleet"
+)
+
+// Charge is the metered use of one attempt of a request.
+type Charge struct {
+	Key     string `cbor:"key" json:"key"`
+	Attempt int    `cbor:"attempt" json:"attempt"`
+	Parts   []Part `cbor:"parts" json:"parts"`
+	// Used holds the tokens made so far; final once Done is set.
+	Used Tokens `cbor:"used" json:"used"`
+	Done bool   `cbor:"done" json:"done"`
+	// Retried is set where another attempt for the key may exist.
+	Retried bool `cbor:"retried" json:"retried"`
+	Acked   bool `cbor:"acked" json:"acked"`
+}
+
+// Report is an agent's account of one grant. Once Fenced, nothing new starts
+// on the grant at this agent, so only unfinished charges can still grow.
+type Report struct {
+	Grant   GrantID      `cbor:"grant"`
+	Agent   fleet.NodeID `cbor:"agent"`
+	Fenced  bool         `cbor:"fenced"`
+	Settled Tokens       `cbor:"settled"`
+	// Charges are those not folded into Settled: unfinished, not
+	// acknowledged, or of a key with several attempts.
+	Charges []Charge `cbor:"charges"`
+	// Watermark is the highest claim known here as witness, if Witness is set.
+	Watermark Tokens `cbor:"watermark"`
+	Witness   bool   `cbor:"witness"`
+}
+
+// Done tells whether the report is final: fenced and nothing left running.
+func (r Report) Done() bool {
+	if !r.Fenced {
+		return false
+	}
+	for _, c := range r.Charges {
+		if !c.Done {
+			return false
+		}
+	}
+	return true
+}
+
+type chargeID struct {
+	key     string
+	attempt int
+}
+
+// Meter keeps an agent's account per grant and refuses fenced grants.
+type Meter struct {
+	self    fleet.NodeID
+	settled map[GrantID]Tokens
+	charges map[chargeID]*Charge
+	fenced  map[GrantID]struct{}
+	// floor is the lowest grant id that is still open in the ledger.
+	floor GrantID
+	// joined is the next grant id at the time when the agent joined. Of older
+	// grants it can't know by itself whether they are still open.
+	joined  GrantID
+	known   map[GrantID]struct{}
+	unknown map[GrantID]struct{}
+}
+
+// NewMeter returns an empty meter for the agent with this id, which joined when
+// the ledger's next grant id was joined.
+func NewMeter(self fleet.NodeID, joined GrantID) *Meter {
+	return &Meter{
+		joined:  joined,
+		known:   map[GrantID]struct{}{},
+		unknown: map[GrantID]struct{}{},
+		self:    self,
+		settled: map[GrantID]Tokens{},
+		charges: map[chargeID]*Charge{},
+		fenced:  map[GrantID]struct{}{},
+	}
+}
+
+// FencedError says that work was refused because its grant is closed.
+type FencedError struct {
+	Grant GrantID
+}
+
+// Error implements error.
+func (e *FencedError) Error() string {
+	return "grant is fenced"
+}
+
+// UnknownGrantError says that work was refused because its grant is older than
+// the agent, which has yet to learn whether it is open.
+type UnknownGrantError struct {
+	Grant GrantID
+}
+
+// Error implements error.
+func (e *UnknownGrantError) Error() string {
+	return "grant is not known to be open"
+}
+
+// Begin opens the charge of an attempt, or returns a *FencedError or an
+// *UnknownGrantError and leaves the meter as it was.
+func (m *Meter) Begin(c Charge) error {
+	for _, p := range c.Parts {
+		if err := m.check(p.Grant); err != nil {
+			return err
+		}
+	}
+	id := chargeID{key: c.Key, attempt: c.Attempt}
+	if _, ok := m.charges[id]; ok {
+		return nil
+	}
+	c.Parts = slices.Clone(c.Parts)
+	m.charges[id] = &c
+	return nil
+}
+
+func (m *Meter) check(id GrantID) error {
+	if _, ok := m.fenced[id]; ok || id < m.floor {
+		return &FencedError{Grant: id}
+	}
+	if _, ok := m.known[id]; ok || id >= m.joined {
+		return nil
+	}
+	m.unknown[id] = struct{}{}
+	return &UnknownGrantError{Grant: id}
+}
+
+// Join takes in the ledger's next grant id at the time when the agent joined.
+func (m *Meter) Join(next GrantID) {
+	if m.joined == 0 {
+		m.joined = next
+	}
+}
+
+// Unknown lists the grants that the ledger is to be asked about.
+func (m *Meter) Unknown() []GrantID {
+	return slices.Sorted(maps.Keys(m.unknown))
+}
+
+// Confirm takes in the ledger's word on whether an older grant is open.
+func (m *Meter) Confirm(id GrantID, open bool) {
+	delete(m.unknown, id)
+	if open {
+		m.known[id] = struct{}{}
+		return
+	}
+	m.fenced[id] = struct{}{}
+}
+
+// Use records the tokens made so far. It never goes down, nor above the
+// reservation.
+func (m *Meter) Use(key string, attempt int, used Tokens) {
+	c, ok := m.charges[chargeID{key, attempt}]
+	if !ok || c.Done {
+		return
+	}
+	c.Used = min(max(c.Used, used), Total(c.Parts))
+}
+
+// End makes the charge final.
+func (m *Meter) End(key string, attempt int) {
+	c, ok := m.charges[chargeID{key, attempt}]
+	if !ok {
+		return
+	}
+	c.Done = true
+	m.fold(c)
+}
+
+// Ack tells the meter that the holder has booked the charge at billed tokens.
+// Zero voids an attempt whose key was billed by another one.
+func (m *Meter) Ack(key string, attempt int, billed Tokens) {
+	c, ok := m.charges[chargeID{key, attempt}]
+	if !ok || !c.Done || c.Acked {
+		return
+	}
+	c.Used = min(c.Used, billed)
+	c.Acked = true
+	m.fold(c)
+}
+
+// fold moves a charge that nobody will ask about again into the sums.
+func (m *Meter) fold(c *Charge) {
+	if !c.Done || !c.Acked || c.Retried {
+		return
+	}
+	for _, p := range Split(c.Parts, c.Used) {
+		m.settled[p.Grant] += p.Amount
+	}
+	delete(m.charges, chargeID{c.Key, c.Attempt})
+}
+
+// Fence closes a grant for new work and reports on it.
+func (m *Meter) Fence(id GrantID) Report {
+	m.fenced[id] = struct{}{}
+	return m.Report(id)
+}
+
+// Report gives the agent's account of a grant.
+func (m *Meter) Report(id GrantID) Report {
+	_, fenced := m.fenced[id]
+	r := Report{Grant: id, Agent: m.self, Fenced: fenced || id < m.floor, Settled: m.settled[id]}
+	for _, c := range m.charges {
+		if hasGrant(c.Parts, id) {
+			r.Charges = append(r.Charges, *c)
+		}
+	}
+	slices.SortFunc(r.Charges, compareCharges)
+	return r
+}
+
+// Accounts reports on every grant that the meter knows; for an agent that ends
+// and starts nothing any more.
+func (m *Meter) Accounts() []Report {
+	ids := map[GrantID]struct{}{}
+	for id := range m.settled {
+		ids[id] = struct{}{}
+	}
+	for _, c := range m.charges {
+		for _, p := range c.Parts {
+			ids[p.Grant] = struct{}{}
+		}
+	}
+	var out []Report
+	for _, id := range slices.Sorted(maps.Keys(ids)) {
+		out = append(out, m.Fence(id))
+	}
+	return out
+}
+
+// SetFloor drops all that is known of grants below the lowest open one, and
+// refuses them from now on. It never goes down.
+func (m *Meter) SetFloor(floor GrantID) {
+	if floor <= m.floor {
+		return
+	}
+	m.floor = floor
+	below := func(id GrantID, _ Tokens) bool { return id < floor }
+	maps.DeleteFunc(m.settled, below)
+	belowID := func(id GrantID, _ struct{}) bool { return id < floor }
+	maps.DeleteFunc(m.fenced, belowID)
+	maps.DeleteFunc(m.known, belowID)
+	maps.DeleteFunc(m.unknown, belowID)
+	maps.DeleteFunc(m.charges, func(_ chargeID, c *Charge) bool {
+		return c.Done && !slices.ContainsFunc(c.Parts, func(p Part) bool { return p.Grant >= floor })
+	})
+}
+
+// Len is the number of grants and charges that the meter keeps.
+func (m *Meter) Len() (grants, charges int) {
+	return len(m.settled) + len(m.fenced), len(m.charges)
+}
--- /dev/null
+++ b/core/escrow/purse.go
@@ -0,0 +1,126 @@
+package escrow
+
+import (
+	"time"
+)
+
+// purse is all that a holder has and awaits for one customer.
+type purse struct {
+	customer   string
+	grants     []*held
+	waiting    []waiting
+	rate       rate
+	seq        uint64
+	asking     bool
+	denied     bool
+	recalling  bool
+	cutOff     bool
+	nextRefill time.Time
+	// stocked is what was ahead after the latest grant.
+	stocked    Tokens
+	reportedAt time.Time
+}
+
+func newPurse(customer string, now time.Time, opts Options) *purse {
+	return &purse{
+		customer:   customer,
+		seq:        1,
+		rate:       rate{halfLife: opts.RateHalfLife, at: now, since: now},
+		reportedAt: now,
+	}
+}
+
+// answered notes that the ledger has answered the refill that was asked.
+func (p *purse) answered(now time.Time) {
+	p.asking = false
+	p.denied = false
+	p.recalling = false
+	p.cutOff = false
+	p.seq++
+	p.nextRefill = now
+}
+
+// allocate reserves worst over the grants, oldest first, or returns nil.
+func (p *purse) allocate(worst Tokens) []Part {
+	var free Tokens
+	for _, g := range p.grants {
+		free += g.free()
+	}
+	if free < worst || len(p.grants) == 0 {
+		return nil
+	}
+	parts := make([]Part, 0, 1)
+	for _, g := range p.grants {
+		n := min(g.free(), worst)
+		if n <= 0 && worst > 0 {
+			continue
+		}
+		g.reserved += n
+		worst -= n
+		parts = append(parts, Part{Grant: g.grant.ID, Amount: n})
+		if worst == 0 {
+			break
+		}
+	}
+	return parts
+}
+
+// claimMore claims the next slices before they are needed.
+func (p *purse) claimMore(now time.Time, opts Options, fx *Effects) {
+	lack := p.wanted()
+	for _, g := range p.grants {
+		lack -= g.free()
+		if g.closing || g.preparing || g.lost || g.claimed == g.grant.Amount || g.target > g.claimed {
+			continue
+		}
+		slice := g.slice(opts.SliceDivisor)
+		if lack <= 0 && g.free() >= slice/2 {
+			return
+		}
+		target := min(g.claimed+max(slice, lack), g.grant.Amount)
+		lack -= target - g.claimed
+		g.claim(now, target, fx)
+	}
+}
+
+// low tells whether it is time to ask for more without a request waiting: the
+// stock is short of the horizon's demand, and well below what it last was.
+func (p *purse) low(have, stock Tokens, below float64) bool {
+	return float64(have) < float64(stock)*below && float64(have) < float64(p.stocked)*below
+}
+
+// ahead is what could be reserved for new requests after further claims.
+func (p *purse) ahead() Tokens {
+	var sum Tokens
+	for _, g := range p.grants {
+		sum += g.ahead()
+	}
+	return sum
+}
+
+// coming is what could be free once all requests in flight have ended.
+func (p *purse) coming() Tokens {
+	sum := p.ahead()
+	for _, g := range p.grants {
+		if !g.closing {
+			sum += g.reserved
+		}
+	}
+	return sum
+}
+
+// wanted is the worst case of all waiting requests.
+func (p *purse) wanted() Tokens {
+	var sum Tokens
+	for _, w := range p.waiting {
+		sum += w.req.Worst
+	}
+	return sum
+}
+
+func (p *purse) reason() Reason {
+	if p.denied {
+		return ReasonExhausted
+	}
+	return ReasonUnreachable
+}
--- /dev/null
+++ b/core/escrow/witness.go
@@ -0,0 +1,128 @@
+package escrow
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"dotterelgap/core/fleet"
+)
+
+// Claim asks a witness to promise a ballot and to record that the holder may
+// use the grant up to Watermark. A zero watermark only asks for the promise.
+type Claim struct {
+	Witness   fleet.NodeID `cbor:"witness"`
+	Grant     Grant        `cbor:"grant"`
+	Ballot    Ballot       `cbor:"ballot"`
+	Watermark Tokens       `cbor:"watermark"`
+}
+
+// ClaimReply is a witness's answer. Asked repeats the claim that it answers.
+type ClaimReply struct {
+	Witness   fleet.NodeID `cbor:"witness"`
+	Grant     GrantID      `cbor:"grant"`
+	Ballot    Ballot       `cbor:"ballot"`
+	Asked     Tokens       `cbor:"asked"`
+	OK        bool         `cbor:"ok"`
+	Promised  Ballot       `cbor:"promised"`
+	Watermark Tokens       `cbor:"watermark"`
+	// Holder is the highest ballot of a holder, the closing ballot left out.
+	Holder Ballot `cbor:"holder"`
+}
+
+type register struct {
+	grant     Grant
+	promised  Ballot
+	holder    Ballot
+	watermark Tokens
+}
+
+// Witness keeps the highest ballot and watermark of each grant. It lives in
+// memory only: a restarted agent has a new id and is nobody's witness yet.
+type Witness struct {
+	self      fleet.NodeID
+	registers map[GrantID]*register
+	floor     GrantID
+}
+
+// NewWitness returns an empty witness for the agent with this id.
+func NewWitness(self fleet.NodeID) *Witness {
+	return &Witness{self: self, registers: map[GrantID]*register{}}
+}
+
+// Claim answers a claim. Repeating a claim is harmless.
+func (w *Witness) Claim(c Claim) ClaimReply {
+	reply := ClaimReply{Witness: w.self, Grant: c.Grant.ID, Ballot: c.Ballot, Asked: c.Watermark}
+	if c.Witness != w.self {
+		return reply
+	}
+	if c.Grant.ID < w.floor {
+		reply.Promised = ClosingBallot()
+		return reply
+	}
+	r, ok := w.registers[c.Grant.ID]
+	if !ok {
+		r = &register{grant: c.Grant, promised: FirstBallot(c.Grant), holder: FirstBallot(c.Grant)}
+		w.registers[c.Grant.ID] = r
+	}
+	if c.Ballot.Compare(r.promised) >= 0 {
+		r.promise(c.Ballot)
+		r.watermark = max(r.watermark, c.Watermark)
+		reply.OK = true
+	}
+	reply.Promised = r.promised
+	reply.Watermark = r.watermark
+	reply.Holder = r.holder
+	return reply
+}
+
+func (r *register) promise(b Ballot) {
+	r.promised = b
+	if b != ClosingBallot() {
+		r.holder = b
+	}
+}
+
+// Fence ends all claiming of a grant and returns what was claimed of it.
+func (w *Witness) Fence(g Grant) Tokens {
+	reply := w.Claim(Claim{Witness: w.self, Grant: g, Ballot: ClosingBallot()})
+	return reply.Watermark
+}
+
+// Watermark returns what has been claimed of a grant at this witness.
+func (w *Witness) Watermark(id GrantID) (Tokens, bool) {
+	r, ok := w.registers[id]
+	if !ok {
+		return 0, false
+	}
+	return r.watermark, true
+}
+
+// Grants lists the grants of a customer in a place that are still open here,
+// lowest id first.
+func (w *Witness) Grants(customer string, place fleet.Place) []Grant {
+	var out []Grant
+	for _, r := range w.registers {
+		if r.grant.Customer != customer || r.grant.Place != place {
+			continue
+		}
+		if r.promised == ClosingBallot() {
+			continue
+		}
+		out = append(out, r.grant)
+	}
+	slices.SortFunc(out, func(a, b Grant) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// SetFloor drops the grants below the lowest one that is open in the ledger,
+// and refuses claims on them from now on.
+func (w *Witness) SetFloor(floor GrantID) {
+	w.floor = max(w.floor, floor)
+	maps.DeleteFunc(w.registers, func(id GrantID, _ *register) bool { return id < w.floor })
+}
+
+// Len is the number of grants that are witnessed here.
+func (w *Witness) Len() int {
+	return len(w.registers)
+}
--- /dev/null
+++ b/core/ledger/grants.go
@@ -0,0 +1,144 @@
+package ledger
+
+import (
+	"math"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+)
+
+// Answer is the ledger's answer to a refill: a grant or a denial.
+type Answer struct {
+	Seq    uint64         `cbor:"seq"`
+	Grant  *escrow.Grant  `cbor:"grant"`
+	Denial *escrow.Denial `cbor:"denial"`
+	// Recalls are the grants whose holders should give back what they don't
+	// use, so that the denied holder can have it.
+	Recalls []escrow.GrantID `cbor:"recalls"`
+}
+
+// Open answers a refill. A resent one gets the same grant again.
+func (l *Ledger) Open(r escrow.Refill) Answer {
+	if g, ok := l.byHolder[holderKey{r.Holder, r.Customer, r.Seq}]; ok {
+		return Answer{Seq: r.Seq, Grant: &g.Grant}
+	}
+	a, ok := l.Accounts[r.Customer]
+	if !ok {
+		return l.deny(r, nil)
+	}
+	a.Rates[r.Holder] = r.Rate
+	free := l.Free(r.Customer)
+	amount := grantAmount(r, free, a.share(r.Holder))
+	if amount <= 0 || amount < r.Need {
+		return l.deny(r, l.recalls(r))
+	}
+	g := &OpenGrant{
+		Grant: escrow.Grant{
+			ID: l.NextGrant, Customer: r.Customer, Place: r.Place, Holder: r.Holder,
+			Amount: amount, Witnesses: l.witnesses(r),
+		},
+		Seq: r.Seq, Outstanding: amount, Spent: map[fleet.NodeID]escrow.Tokens{},
+	}
+	l.NextGrant++
+	l.Grants[g.Grant.ID] = g
+	l.index(g)
+	return Answer{Seq: r.Seq, Grant: &g.Grant}
+}
+
+func (l *Ledger) deny(r escrow.Refill, recalls []escrow.GrantID) Answer {
+	d := &escrow.Denial{Customer: r.Customer, Seq: r.Seq, Recalling: len(recalls) > 0}
+	return Answer{Seq: r.Seq, Denial: d, Recalls: recalls}
+}
+
+// share is the part of the customer's demand that a holder sees.
+func (a *Account) share(holder fleet.NodeID) float64 {
+	var sum float64
+	for _, r := range a.Rates {
+		sum += r
+	}
+	if sum == 0 {
+		return 1.0 / firstShare
+	}
+	return a.Rates[holder] / sum
+}
+
+// grantAmount stocks a holder for its horizon, at most its share of what is
+// free, and at least what waiting requests need.
+func grantAmount(r escrow.Refill, free escrow.Tokens, share float64) escrow.Tokens {
+	stock := escrow.Tokens(math.Ceil(r.Rate*r.Horizon)) - r.Have
+	if r.Rate == 0 {
+		stock = free / firstShare
+	}
+	capped := escrow.Tokens(math.Floor(float64(free) * share))
+	return min(max(min(stock, capped), r.Need), free)
+}
+
+// witnesses picks agents in the holder's place, the same for all processes.
+func (l *Ledger) witnesses(r escrow.Refill) []fleet.NodeID {
+	live := l.live[r.Place]
+	if len(live) > witnessesPerGrant {
+		live = fleet.Rendezvous(r.Customer, live)[:witnessesPerGrant]
+	}
+	return append([]fleet.NodeID(nil), live...)
+}
+
+// recalls lists other holders' grants if they have enough to matter.
+func (l *Ledger) recalls(r escrow.Refill) []escrow.GrantID {
+	if r.Need == 0 {
+		return nil
+	}
+	var ids []escrow.GrantID
+	idle := l.Free(r.Customer)
+	for _, id := range l.perOwner[r.Customer] {
+		g := l.Grants[id]
+		if g.Grant.Holder == r.Holder || g.Settling {
+			continue
+		}
+		rest := g.Outstanding - g.spent()
+		if rest <= 0 {
+			continue
+		}
+		idle += rest
+		ids = append(ids, id)
+	}
+	if idle < r.Need {
+		return nil
+	}
+	return ids
+}
+
+func (g *OpenGrant) spent() escrow.Tokens {
+	var sum escrow.Tokens
+	for _, n := range g.Spent {
+		sum += n
+	}
+	return sum
+}
+
+// Spend takes in a holder's cumulative statement.
+func (l *Ledger) Spend(s escrow.Spend) {
+	g, ok := l.Grants[s.Grant]
+	if !ok {
+		return
+	}
+	g.Spent[s.Holder] = max(g.Spent[s.Holder], s.Spent)
+}
+
+// Close takes a grant back from its holder.
+func (l *Ledger) Close(c escrow.Close) {
+	g, ok := l.Grants[c.Grant]
+	if !ok {
+		return
+	}
+	l.Spend(escrow.Spend{Grant: c.Grant, Holder: c.Holder, Spent: c.Spent})
+	if !c.Final || c.Holder != g.Grant.Holder {
+		l.settle(g)
+		return
+	}
+	if c.Open > 0 {
+		l.confine(g, c.Spent+c.Open)
+		return
+	}
+	l.remove(g, c.Spent)
+	l.prune()
+}
--- /dev/null
+++ b/core/parse/into.go
@@ -0,0 +1,190 @@
+package parse
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Into reads data into dst, a pointer to a struct.
+func Into(file string, data []byte, dst any) *Problems {
+	d := &decoder{data: data, ps: &Problems{file: file, lines: map[string]int{"": 1}}}
+	v, err := hujson.Parse(data)
+	if err != nil {
+		d.ps.addAt(syntaxLine(data, err), "", "not JSON with comments: "+err.Error())
+		return d.ps
+	}
+	d.value(v, "", reflect.ValueOf(dst).Elem())
+	return d.ps
+}
+
+// syntaxLine takes the line from the library's message, which starts
+// "hujson: line N".
+func syntaxLine(data []byte, err error) int {
+	var line int
+	if _, scan := fmt.Sscanf(err.Error(), "hujson: line %d", &line); scan != nil {
+		return bytes.Count(data, []byte("\n")) + 1
+	}
+	return line
+}
+
+type decoder struct {
+	data []byte
+	ps   *Problems
+}
+
+func (d *decoder) lineOf(offset int) int {
+	return bytes.Count(d.data[:min(offset, len(d.data))], []byte("\n")) + 1
+}
+
+func (d *decoder) value(v hujson.Value, path string, dst reflect.Value) {
+	if _, ok := d.ps.lines[path]; !ok || path == "" {
+		d.ps.lines[path] = d.lineOf(v.StartOffset)
+	}
+	if dst.Kind() == reflect.Pointer {
+		dst.Set(reflect.New(dst.Type().Elem()))
+		dst = dst.Elem()
+	}
+	if u, ok := dst.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(v, path, u)
+		return
+	}
+	switch dst.Kind() {
+	case reflect.Struct:
+		d.object(v, path, dst)
+	case reflect.Slice:
+		d.array(v, path, dst)
+	case reflect.Map:
+		d.mapping(v, path, dst)
+	default:
+		d.scalar(v, path, dst)
+	}
+}
+
+func (d *decoder) text(v hujson.Value, path string, u encoding.TextUnmarshaler) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '"' {
+		d.ps.Add(path, "must be a string")
+		return
+	}
+	if err := u.UnmarshalText([]byte(lit.String())); err != nil {
+		d.ps.Add(path, "%v", err)
+	}
+}
+
+func (d *decoder) scalar(v hujson.Value, path string, dst reflect.Value) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok {
+		d.ps.Add(path, "must be %s", kindName(dst.Kind()))
+		return
+	}
+	if err := json.Unmarshal([]byte(lit), dst.Addr().Interface()); err != nil {
+		d.ps.Add(path, "must be %s, not %s", kindName(dst.Kind()), string(lit))
+	}
+}
+
+func kindName(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+func (d *decoder) array(v hujson.Value, path string, dst reflect.Value) {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.ps.Add(path, "must be a list")
+		return
+	}
+	dst.Set(reflect.MakeSlice(dst.Type(), len(arr.Elements), len(arr.Elements)))
+	for i, e := range arr.Elements {
+		d.value(e, fmt.Sprintf("%s[%d]", path, i), dst.Index(i))
+	}
+}
+
+func (d *decoder) mapping(v hujson.Value, path string, dst reflect.Value) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.ps.Add(path, "must be an object")
+		return
+	}
+	dst.Set(reflect.MakeMap(dst.Type()))
+	for _, m := range obj.Members {
+		key, sub := d.member(m, path)
+		elem := reflect.New(dst.Type().Elem()).Elem()
+		d.value(m.Value, sub, elem)
+		if dst.MapIndex(reflect.ValueOf(key).Convert(dst.Type().Key())).IsValid() {
+			d.ps.Add(sub, "is given twice")
+		}
+		dst.SetMapIndex(reflect.ValueOf(key).Convert(dst.Type().Key()), elem)
+	}
+}
+
+func (d *decoder) member(m hujson.ObjectMember, path string) (key, sub string) {
+	key = m.Name.Value.(hujson.Literal).String()
+	sub = join(path, key)
+	d.ps.lines[sub] = d.lineOf(m.Name.StartOffset)
+	return key, sub
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func (d *decoder) object(v hujson.Value, path string, dst reflect.Value) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.ps.Add(path, "must be an object")
+		return
+	}
+	fields := fieldsOf(dst)
+	seen := map[string]bool{}
+	for _, m := range obj.Members {
+		key, sub := d.member(m, path)
+		f, ok := fields[key]
+		switch {
+		case !ok:
+			d.ps.Add(sub, "unknown key; known are %s", strings.Join(sortedKeys(fields), ", "))
+		case seen[key]:
+			d.ps.Add(sub, "is given twice")
+		default:
+			d.value(m.Value, sub, f)
+		}
+		seen[key] = true
+	}
+}
+
+func fieldsOf(dst reflect.Value) map[string]reflect.Value {
+	out := map[string]reflect.Value{}
+	for i := range dst.NumField() {
+		name, _, _ := strings.Cut(dst.Type().Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			out[name] = dst.Field(i)
+		}
+	}
+	return out
+}
+
+func sortedKeys(m map[string]reflect.Value) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/core/raft/change.go
@@ -0,0 +1,63 @@
+package raft
+
+import "time"
+
+// AddLearner adds a member that gets the log and has no vote.
+func (m *Machine) AddLearner(now time.Time, mem Member) (uint64, error) {
+	mem.Voter = false
+	if old, ok := m.members.Find(mem.ID); ok && old.Addr == mem.Addr {
+		return m.membersIndex, nil
+	}
+	return m.change(now, m.members.With(mem))
+}
+
+// Promote makes a learner a voter, once it has on disk all that is committed.
+func (m *Machine) Promote(now time.Time, id MemberID) (uint64, error) {
+	mem, ok := m.members.Find(id)
+	if !ok {
+		return 0, &UnknownMemberError{Member: id}
+	}
+	if mem.Voter {
+		return m.membersIndex, nil
+	}
+	if m.role == Leader && m.progress(id, now).match < m.commit {
+		return 0, &BehindError{Member: id, Match: m.progress(id, now).match, Commit: m.commit}
+	}
+	mem.Voter = true
+	return m.change(now, m.members.With(mem))
+}
+
+// Remove takes a member out of the group.
+func (m *Machine) Remove(now time.Time, id MemberID) (uint64, error) {
+	if _, ok := m.members.Find(id); !ok {
+		return m.membersIndex, nil
+	}
+	return m.change(now, m.members.Without(id))
+}
+
+// change appends a membership that differs in one member. The one before must
+// be committed, and so must an entry of this term.
+func (m *Machine) change(now time.Time, next Membership) (uint64, error) {
+	if m.role != Leader {
+		return 0, &NotLeaderError{Leader: m.leader}
+	}
+	if m.membersIndex > m.commit || m.commit < m.termStart {
+		return 0, &ChangePendingError{Index: max(m.membersIndex, m.termStart)}
+	}
+	if next.Voters() == 0 {
+		return 0, &LastVoterError{}
+	}
+	index := m.append(Entry{Kind: EntryMembership, Members: &next})
+	m.broadcast(now, false)
+	return index, nil
+}
+
+// CanStandIn tells whether a voter has all that is committed on its own disk,
+// so that any other member may be lost from now on.
+func (m *Machine) CanStandIn(id MemberID) bool {
+	if m.role != Leader || !m.members.IsVoter(id) || m.membersIndex > m.commit {
+		return false
+	}
+	p, ok := m.peers[id]
+	return ok && p.match >= m.commit
+}
--- /dev/null
+++ b/core/raft/election.go
@@ -0,0 +1,95 @@
+package raft
+
+import "time"
+
+// sticky tells whether a live leader was heard so recently that nobody should
+// be elected in its stead.
+func (m *Machine) sticky(now time.Time) bool {
+	return m.role == Leader || (m.leader != 0 && now.Sub(m.heard) < m.election)
+}
+
+// campaign asks for votes, first without raising the term.
+func (m *Machine) campaign(now time.Time, role Role) {
+	m.role = role
+	m.leader = 0
+	m.resetTimeout(now)
+	m.votes = map[MemberID]bool{m.self: true}
+	term := m.state.Term + 1
+	kind := KindPreVote
+	if role == Candidate {
+		m.setState(State{Term: term, Vote: m.self})
+		kind = KindVote
+	}
+	for _, mem := range m.members.Members {
+		if mem.Voter && mem.ID != m.self {
+			m.send(Message{Kind: kind, To: mem.ID, Term: term, Index: m.log.last(), LogTerm: m.log.lastTerm()})
+		}
+	}
+	m.countVotes(now)
+}
+
+func (m *Machine) onVote(now time.Time, msg Message) {
+	reply := Message{Kind: msg.Kind + 1, To: msg.From, Term: m.state.Term}
+	upToDate := msg.LogTerm > m.log.lastTerm() ||
+		(msg.LogTerm == m.log.lastTerm() && msg.Index >= m.log.last())
+	if msg.Kind == KindPreVote {
+		reply.Granted = msg.Term > m.state.Term && upToDate && !m.sticky(now)
+		if reply.Granted {
+			reply.Term = msg.Term
+		}
+		m.send(reply)
+		return
+	}
+	free := m.state.Vote == 0 || m.state.Vote == msg.From
+	if msg.Term == m.state.Term && free && upToDate && m.role != Leader {
+		m.setState(State{Term: msg.Term, Vote: msg.From})
+		m.resetTimeout(now)
+		reply.Granted = true
+	}
+	m.send(reply)
+}
+
+func (m *Machine) onVoteReply(now time.Time, msg Message) {
+	switch {
+	case msg.Kind == KindPreVoteReply && m.role == PreCandidate:
+		if !msg.Granted && msg.Term > m.state.Term {
+			m.becomeFollower(now, msg.Term, 0)
+			return
+		}
+		if msg.Granted && msg.Term != m.state.Term+1 {
+			return
+		}
+	case msg.Kind == KindVoteReply && m.role == Candidate && msg.Term == m.state.Term:
+	default:
+		return
+	}
+	m.votes[msg.From] = msg.Granted
+	m.countVotes(now)
+}
+
+func (m *Machine) countVotes(now time.Time) {
+	granted := 0
+	for id, ok := range m.votes {
+		if ok && m.members.IsVoter(id) {
+			granted++
+		}
+	}
+	if granted < m.members.Quorum() {
+		return
+	}
+	if m.role == PreCandidate {
+		m.campaign(now, Candidate)
+		return
+	}
+	m.lead(now)
+}
+
+func (m *Machine) lead(now time.Time) {
+	m.role = Leader
+	m.leader = m.self
+	m.peers = map[MemberID]*progress{}
+	m.timeout = now.Add(m.election / heartbeatsPerElection)
+	m.termStart = m.log.last() + 1
+	m.append(Entry{Kind: EntryNoop})
+	m.broadcast(now, true)
+}
--- /dev/null
+++ b/core/raft/machine.go
@@ -0,0 +1,299 @@
+package raft
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Role is what a member does at present.
+type Role uint8
+
+// The roles of a member.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Timing and sizes of the protocol.
+const (
+	// DefaultElection is the least time without a leader before an election.
+	DefaultElection = 500 * time.Millisecond
+	// heartbeatsPerElection divides the election time into heartbeats.
+	heartbeatsPerElection = 8
+	// maxEntriesPerAppend bounds one append message.
+	maxEntriesPerAppend = 512
+)
+
+// Saved is what a member finds on its disk.
+type Saved struct {
+	State    State
+	Snapshot Snapshot
+	Entries  []Entry
+}
+
+// Params create a Machine.
+type Params struct {
+	Self     MemberID
+	Saved    Saved
+	Rand     *rand.Rand
+	Now      time.Time
+	Election time.Duration
+}
+
+type progress struct {
+	match, next uint64
+	heard       time.Time
+	readSeq     uint64
+	// inFlight is set while entries were sent and not answered.
+	inFlight bool
+	sentAt   time.Time
+}
+
+type pendingRead struct {
+	id, seq, index uint64
+}
+
+// Machine is one member of the group.
+type Machine struct {
+	self     MemberID
+	rnd      *rand.Rand
+	election time.Duration
+
+	state   State
+	log     log
+	members Membership
+	// membersIndex is where members stands in the log.
+	membersIndex uint64
+	commit       uint64
+	applied      uint64
+	stable       uint64
+
+	role      Role
+	leader    MemberID
+	heard     time.Time // last word of a leader
+	timeout   time.Time // when the next election or heartbeat is due
+	votes     map[MemberID]bool
+	peers     map[MemberID]*progress
+	termStart uint64
+	readSeq   uint64
+	reads     []pendingRead
+
+	out Output
+}
+
+// New returns a follower that continues from what was saved.
+func New(p Params) *Machine {
+	m := &Machine{
+		self: p.Self, rnd: p.Rand, election: p.Election, state: p.Saved.State,
+		log: log{snapshot: p.Saved.Snapshot, entries: p.Saved.Entries},
+	}
+	if m.election == 0 {
+		m.election = DefaultElection
+	}
+	m.members, m.membersIndex = m.log.members()
+	m.commit = p.Saved.Snapshot.Index
+	m.applied = m.commit
+	m.stable = m.log.last()
+	m.resetTimeout(p.Now)
+	if m.members.IsVoter(m.self) && m.members.Voters() == 1 {
+		m.timeout = p.Now
+	}
+	return m
+}
+
+// Bootstrap is the saved state of a new group's only member.
+func Bootstrap(self Member) Saved {
+	self.Voter = true
+	return Saved{Snapshot: Snapshot{Index: 1, Term: 1, Members: Membership{Members: []Member{self}}}}
+}
+
+// Take returns what is to be done and clears it.
+func (m *Machine) Take() Output {
+	m.collectCommitted()
+	out := m.out
+	m.out = Output{}
+	return out
+}
+
+func (m *Machine) collectCommitted() {
+	if m.applied >= m.commit {
+		return
+	}
+	m.out.Committed = m.log.from(m.applied+1, int(m.commit-m.applied))
+	m.applied = m.commit
+}
+
+// Status tells how a member sees the group.
+type Status struct {
+	Self    MemberID   `json:"self"`
+	Role    Role       `json:"role"`
+	Term    uint64     `json:"term"`
+	Leader  MemberID   `json:"leader"`
+	Commit  uint64     `json:"commit"`
+	Last    uint64     `json:"last"`
+	First   uint64     `json:"first"`
+	Members Membership `json:"members"`
+	// Match is, at a leader, what each member has on disk.
+	Match map[MemberID]uint64 `json:"match,omitempty"`
+}
+
+// Status returns how this member sees the group.
+func (m *Machine) Status() Status {
+	s := Status{
+		Self: m.self, Role: m.role, Term: m.state.Term, Leader: m.leader, Commit: m.commit,
+		Last: m.log.last(), First: m.log.snapshot.Index, Members: m.members,
+	}
+	if m.role == Leader {
+		s.Match = map[MemberID]uint64{m.self: m.stable}
+		for id, p := range m.peers {
+			s.Match[id] = p.match
+		}
+	}
+	return s
+}
+
+// Tick lets time pass. Calling it every tenth of an election time is enough.
+func (m *Machine) Tick(now time.Time) {
+	if m.role == Leader {
+		m.tickLeader(now)
+		return
+	}
+	if now.Before(m.timeout) || !m.members.IsVoter(m.self) {
+		return
+	}
+	m.campaign(now, PreCandidate)
+}
+
+func (m *Machine) tickLeader(now time.Time) {
+	if !m.quorumHeard(now) {
+		m.becomeFollower(now, m.state.Term, 0)
+		return
+	}
+	if now.Before(m.timeout) {
+		return
+	}
+	m.timeout = now.Add(m.election / heartbeatsPerElection)
+	m.broadcast(now, true)
+}
+
+// quorumHeard tells whether a quorum has answered within an election time.
+func (m *Machine) quorumHeard(now time.Time) bool {
+	n := 0
+	for _, mem := range m.members.Members {
+		if !mem.Voter {
+			continue
+		}
+		if mem.ID == m.self || now.Sub(m.progress(mem.ID, now).heard) < m.election {
+			n++
+		}
+	}
+	return n >= m.members.Quorum()
+}
+
+func (m *Machine) progress(id MemberID, now time.Time) *progress {
+	p, ok := m.peers[id]
+	if !ok {
+		p = &progress{next: m.log.last() + 1, heard: now}
+		m.peers[id] = p
+	}
+	return p
+}
+
+func (m *Machine) resetTimeout(now time.Time) {
+	m.timeout = now.Add(m.election + time.Duration(m.rnd.Int64N(int64(m.election))))
+}
+
+func (m *Machine) setState(s State) {
+	if s == m.state {
+		return
+	}
+	m.state = s
+	m.out.State = &s
+}
+
+func (m *Machine) send(msg Message) {
+	msg.From = m.self
+	m.out.Messages = append(m.out.Messages, msg)
+}
+
+func (m *Machine) becomeFollower(now time.Time, term uint64, leader MemberID) {
+	if term > m.state.Term {
+		m.setState(State{Term: term})
+	}
+	m.role = Follower
+	m.leader = leader
+	m.failReads()
+	m.resetTimeout(now)
+}
+
+func (m *Machine) failReads() {
+	for _, r := range m.reads {
+		m.out.Reads = append(m.out.Reads, Read{ID: r.id})
+	}
+	m.reads = nil
+}
+
+// Step takes in a message from another member.
+func (m *Machine) Step(now time.Time, msg Message) {
+	if msg.To != m.self {
+		return
+	}
+	if msg.Term > m.state.Term && msg.Kind != KindPreVote && msg.Kind != KindPreVoteReply {
+		if msg.Kind == KindVote && m.sticky(now) {
+			return
+		}
+		m.becomeFollower(now, msg.Term, 0)
+	}
+	switch msg.Kind {
+	case KindPreVote, KindVote:
+		m.onVote(now, msg)
+	case KindPreVoteReply, KindVoteReply:
+		m.onVoteReply(now, msg)
+	case KindAppend:
+		m.onAppend(now, msg)
+	case KindAppendReply:
+		m.onAppendReply(now, msg)
+	case KindSnapshot:
+		m.onSnapshot(now, msg)
+	}
+}
+
+// Stable says that the log is synced up to index.
+func (m *Machine) Stable(now time.Time, index uint64) {
+	m.stable = min(max(m.stable, index), m.log.last())
+	if m.role == Leader {
+		m.advanceCommit(now)
+	}
+}
+
+// LastIndex is the index of the last entry in the log, synced or not.
+func (m *Machine) LastIndex() uint64 {
+	return m.log.last()
+}
+
+// Compact drops the log up to a snapshot of the applied state.
+func (m *Machine) Compact(index uint64, data []byte) Snapshot {
+	term, _ := m.log.term(index)
+	s := Snapshot{Index: index, Term: term, Members: m.log.membersAt(index), Data: data}
+	m.log.compact(s)
+	return s
+}
+
+// Tail returns the entries after the latest snapshot, for rewriting the file.
+func (m *Machine) Tail() []Entry {
+	return m.log.from(m.log.snapshot.Index+1, len(m.log.entries))
+}
+
+// HardState returns the term and vote.
+func (m *Machine) HardState() State {
+	return m.state
+}
+
+func sortedDescending(xs []uint64) []uint64 {
+	slices.SortFunc(xs, func(a, b uint64) int { return cmp.Compare(b, a) })
+	return xs
+}
--- /dev/null
+++ b/core/raft/replicate.go
@@ -0,0 +1,223 @@
+package raft
+
+import "time"
+
+// append adds an entry to a leader's log.
+func (m *Machine) append(e Entry) uint64 {
+	e.Index = m.log.last() + 1
+	e.Term = m.state.Term
+	m.log.entries = append(m.log.entries, e)
+	m.out.Entries = append(m.out.Entries, e)
+	m.members, m.membersIndex = m.latestMembers(e)
+	return e.Index
+}
+
+func (m *Machine) latestMembers(e Entry) (Membership, uint64) {
+	if e.Members != nil {
+		return *e.Members, e.Index
+	}
+	return m.members, m.membersIndex
+}
+
+// Propose appends a command at the leader and returns its index and term.
+func (m *Machine) Propose(now time.Time, data []byte) (index, term uint64, err error) {
+	if m.role != Leader {
+		return 0, 0, &NotLeaderError{Leader: m.leader}
+	}
+	index = m.append(Entry{Kind: EntryCommand, Data: data})
+	m.broadcast(now, false)
+	return index, m.state.Term, nil
+}
+
+// broadcast sends to all members what they lack. With heartbeat set it also
+// sends to those that lack nothing.
+func (m *Machine) broadcast(now time.Time, heartbeat bool) {
+	for _, mem := range m.members.Members {
+		if mem.ID != m.self {
+			m.replicate(now, mem.ID, heartbeat)
+		}
+	}
+}
+
+func (m *Machine) replicate(now time.Time, to MemberID, heartbeat bool) {
+	p := m.progress(to, now)
+	stalled := p.inFlight && now.Sub(p.sentAt) >= m.election/2
+	if p.inFlight && !stalled && !heartbeat {
+		return
+	}
+	prev := p.next - 1
+	prevTerm, ok := m.log.term(prev)
+	if !ok {
+		m.sendSnapshot(now, to, p)
+		return
+	}
+	var entries []Entry
+	if !p.inFlight || stalled {
+		entries = m.log.from(p.next, maxEntriesPerAppend)
+	}
+	if len(entries) == 0 && !heartbeat {
+		return
+	}
+	if len(entries) > 0 {
+		p.inFlight = true
+		p.sentAt = now
+	}
+	m.send(Message{
+		Kind: KindAppend, To: to, Term: m.state.Term, Index: prev, LogTerm: prevTerm,
+		Entries: entries, Commit: m.commit, ReadSeq: m.readSeq,
+	})
+}
+
+func (m *Machine) sendSnapshot(now time.Time, to MemberID, p *progress) {
+	if p.inFlight && now.Sub(p.sentAt) < m.election {
+		return
+	}
+	p.inFlight = true
+	p.sentAt = now
+	s := m.log.snapshot
+	m.send(Message{Kind: KindSnapshot, To: to, Term: m.state.Term, Snapshot: &s, ReadSeq: m.readSeq})
+}
+
+func (m *Machine) onAppend(now time.Time, msg Message) {
+	reply := Message{Kind: KindAppendReply, To: msg.From, Term: m.state.Term, ReadSeq: msg.ReadSeq}
+	if msg.Term < m.state.Term {
+		m.send(reply)
+		return
+	}
+	m.follow(now, msg.From)
+	if !m.matches(msg, &reply) {
+		m.send(reply)
+		return
+	}
+	for i, e := range msg.Entries {
+		t, ok := m.log.term(e.Index)
+		if e.Index <= m.log.snapshot.Index || (ok && t == e.Term) {
+			continue
+		}
+		m.replaceFrom(msg.Entries[i:])
+		break
+	}
+	reply.Granted = true
+	reply.Match = msg.Index + uint64(len(msg.Entries))
+	m.commit = max(m.commit, min(msg.Commit, reply.Match))
+	m.send(reply)
+}
+
+func (m *Machine) follow(now time.Time, leader MemberID) {
+	if m.role != Follower {
+		m.becomeFollower(now, m.state.Term, leader)
+	}
+	m.leader = leader
+	m.heard = now
+	m.resetTimeout(now)
+}
+
+// matches tells whether the log holds the entry before the sent ones.
+func (m *Machine) matches(msg Message, reply *Message) bool {
+	if msg.Index < m.log.snapshot.Index {
+		return true
+	}
+	t, ok := m.log.term(msg.Index)
+	if ok && t == msg.LogTerm {
+		return true
+	}
+	reply.Hint = min(m.log.last(), msg.Index-1)
+	return false
+}
+
+// replaceFrom drops a conflicting tail and appends the leader's entries.
+func (m *Machine) replaceFrom(entries []Entry) {
+	first := entries[0].Index
+	m.log.truncate(first)
+	m.stable = min(m.stable, first-1)
+	m.log.entries = append(m.log.entries, entries...)
+	for len(m.out.Entries) > 0 && m.out.Entries[len(m.out.Entries)-1].Index >= first {
+		m.out.Entries = m.out.Entries[:len(m.out.Entries)-1]
+	}
+	m.out.Entries = append(m.out.Entries, entries...)
+	m.members, m.membersIndex = m.log.members()
+}
+
+func (m *Machine) onAppendReply(now time.Time, msg Message) {
+	if m.role != Leader || msg.Term != m.state.Term {
+		return
+	}
+	p := m.progress(msg.From, now)
+	p.heard = now
+	p.readSeq = max(p.readSeq, msg.ReadSeq)
+	if !msg.Granted {
+		p.inFlight = false
+		p.next = max(min(p.next-1, msg.Hint+1), p.match+1)
+		m.replicate(now, msg.From, false)
+		return
+	}
+	if msg.Match > p.match {
+		p.match = msg.Match
+	}
+	if msg.Match >= p.next {
+		p.next = msg.Match + 1
+		p.inFlight = false
+	}
+	m.advanceCommit(now)
+	m.confirmReads()
+	if m.role == Leader {
+		m.replicate(now, msg.From, false)
+	}
+}
+
+func (m *Machine) onSnapshot(now time.Time, msg Message) {
+	reply := Message{Kind: KindAppendReply, To: msg.From, Term: m.state.Term, ReadSeq: msg.ReadSeq}
+	if msg.Term < m.state.Term || msg.Snapshot == nil {
+		m.send(reply)
+		return
+	}
+	m.follow(now, msg.From)
+	s := *msg.Snapshot
+	reply.Granted = true
+	reply.Match = s.Index
+	if s.Index > m.commit {
+		m.install(s)
+	}
+	m.send(reply)
+}
+
+func (m *Machine) install(s Snapshot) {
+	m.collectCommitted()
+	m.log.compact(s)
+	m.out.Installed = &s
+	m.out.Committed = nil
+	m.out.Entries = m.log.from(s.Index+1, len(m.log.entries))
+	m.commit = s.Index
+	m.applied = s.Index
+	m.stable = s.Index
+	m.members, m.membersIndex = m.log.members()
+}
+
+// advanceCommit commits what a quorum has on disk, if it is of this term.
+func (m *Machine) advanceCommit(now time.Time) {
+	var matches []uint64
+	for _, mem := range m.members.Members {
+		if !mem.Voter {
+			continue
+		}
+		if mem.ID == m.self {
+			matches = append(matches, m.stable)
+			continue
+		}
+		matches = append(matches, m.progress(mem.ID, now).match)
+	}
+	if len(matches) == 0 {
+		return
+	}
+	n := sortedDescending(matches)[m.members.Quorum()-1]
+	if n <= m.commit || n < m.termStart {
+		return
+	}
+	m.commit = n
+	m.confirmReads()
+	if !m.members.IsVoter(m.self) && m.commit >= m.membersIndex {
+		m.becomeFollower(now, m.state.Term, 0)
+		return
+	}
+	m.broadcast(now, true)
+}
--- /dev/null
+++ b/core/state/command.go
@@ -0,0 +1,76 @@
+package state
+
+import (
+	"time"
+
+	"dotterelgap/core/config"
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/ledger"
+)
+
+// Command is one step of the state machine. Exactly one of its pointers or
+// lists is set.
+type Command struct {
+	// At is the leader's time, for the age of records only.
+	At       time.Time         `cbor:"at"`
+	Apply    *ApplyConfig      `cbor:"apply,omitempty"`
+	TopUp    *ledger.TopUp     `cbor:"top_up,omitempty"`
+	Refills  []escrow.Refill   `cbor:"refills,omitempty"`
+	Spends   []escrow.Spend    `cbor:"spends,omitempty"`
+	Closes   []escrow.Close    `cbor:"closes,omitempty"`
+	Settle   []escrow.GrantID  `cbor:"settle,omitempty"`
+	Progress []ledger.Progress `cbor:"progress,omitempty"`
+	WriteOff *ledger.WriteOff  `cbor:"write_off,omitempty"`
+	Join     *fleet.Node       `cbor:"join,omitempty"`
+	Retire   fleet.NodeID      `cbor:"retire,omitempty"`
+	Leave    *Leave            `cbor:"leave,omitempty"`
+	Claim    *Claim            `cbor:"claim,omitempty"`
+	Finish   *FinishClaim      `cbor:"finish,omitempty"`
+	Order    *Order            `cbor:"order,omitempty"`
+}
+
+// ApplyConfig proposes the next version of the configuration.
+type ApplyConfig struct {
+	// ChangeID makes a resent change get its first verdict again.
+	ChangeID string `cbor:"change_id"`
+	// Base is the version that the operator started from.
+	Base uint64 `cbor:"base"`
+	// Digest is the fingerprint of the configuration that is proposed.
+	Digest uint64        `cbor:"digest"`
+	Change config.Change `cbor:"change"`
+	// By names the operator, for the history.
+	By string `cbor:"by"`
+}
+
+// Leave is an agent's orderly end, with its last reports.
+type Leave struct {
+	Agent   fleet.NodeID    `cbor:"agent"`
+	Reports []escrow.Report `cbor:"reports"`
+}
+
+// Verdict is the lasting answer to a change.
+type Verdict struct {
+	ChangeID string `cbor:"change_id" json:"change_id"`
+	Accepted bool   `cbor:"accepted" json:"accepted"`
+	Base     uint64 `cbor:"base" json:"base"`
+	Digest   uint64 `cbor:"digest" json:"digest"`
+	// Version is the version that the change became, or the one in force when
+	// it lost.
+	Version uint64 `cbor:"version" json:"version"`
+	// Winner is the change that took the number base + 1, where this one lost.
+	Winner string `cbor:"winner,omitempty" json:"winner,omitempty"`
+	// Reason says why the change was refused, if not for a conflict.
+	Reason string `cbor:"reason,omitempty" json:"reason,omitempty"`
+}
+
+// Result is what a command came to. Err is for the one who asked; it never
+// stops the log.
+type Result struct {
+	Verdict *Verdict
+	Answers []ledger.Answer
+	Claim   *ClaimAnswer
+	Order   uint64
+	Joined  escrow.GrantID
+	Err     error
+}
--- /dev/null
+++ b/core/state/machine.go
@@ -0,0 +1,206 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"dotterelgap/core/config"
+	"dotterelgap/core/ledger"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Machine is the replicated state. Its fields are exported for snapshots only.
+type Machine struct {
+	Config *config.Store `cbor:"config"`
+	// Changes keeps the verdict on every change, for good: a resent change
+	// must get its first verdict however long ago that was.
+	Changes map[string]Verdict `cbor:"changes"`
+	// Winners names the change that became a version.
+	Winners   map[uint64]string         `cbor:"winners"`
+	Ledger    *ledger.Ledger            `cbor:"ledger"`
+	Claims    map[ClaimKey]*ClaimRecord `cbor:"-"`
+	ClaimList []*ClaimRecord            `cbor:"claims"`
+	Orders    map[string]OrderRecord    `cbor:"orders"`
+	NextOrder uint64                    `cbor:"next_order"`
+	SweptAt   time.Time                 `cbor:"swept_at"`
+
+	// doc is Config put together, derived.
+	doc config.Document
+}
+
+// New returns an empty state.
+func New() *Machine {
+	return &Machine{
+		Config:  config.NewStore(),
+		Changes: map[string]Verdict{},
+		Winners: map[uint64]string{},
+		Ledger:  ledger.New(),
+		Claims:  map[ClaimKey]*ClaimRecord{},
+		Orders:  map[string]OrderRecord{},
+	}
+}
+
+// Document returns the configuration in force.
+func (m *Machine) Document() config.Document {
+	return m.doc
+}
+
+// Apply carries out a command.
+func (m *Machine) Apply(c Command) Result {
+	m.forgetClaims(c.At)
+	switch {
+	case c.Apply != nil:
+		v, err := m.apply(*c.Apply)
+		return Result{Verdict: v, Err: err}
+	case c.TopUp != nil:
+		return Result{Err: m.Ledger.TopUp(*c.TopUp)}
+	case c.Claim != nil:
+		return Result{Claim: m.claim(c.At, *c.Claim)}
+	case c.Finish != nil:
+		m.finish(c.At, *c.Finish)
+	case c.Order != nil:
+		n, err := m.order(*c.Order)
+		return Result{Order: n, Err: err}
+	case c.WriteOff != nil:
+		return Result{Err: m.Ledger.WriteOff(*c.WriteOff)}
+	case c.Join != nil:
+		m.Ledger.Join(*c.Join)
+		return Result{Joined: m.Ledger.NextGrant}
+	case c.Leave != nil:
+		m.Ledger.Leave(c.Leave.Agent, c.Leave.Reports)
+	case c.Retire != "":
+		m.Ledger.Retire(c.Retire)
+	default:
+		return m.applyBudget(c)
+	}
+	return Result{}
+}
+
+func (m *Machine) applyBudget(c Command) Result {
+	var res Result
+	for _, s := range c.Spends {
+		m.Ledger.Spend(s)
+	}
+	for _, cl := range c.Closes {
+		m.Ledger.Close(cl)
+	}
+	for _, r := range c.Refills {
+		res.Answers = append(res.Answers, m.Ledger.Open(r))
+	}
+	m.Ledger.Settle(c.Settle)
+	for _, p := range c.Progress {
+		m.Ledger.Advance(p)
+	}
+	return res
+}
+
+// apply decides a change. Of changes with the same base exactly one is accepted.
+func (m *Machine) apply(c ApplyConfig) (*Verdict, error) {
+	if v, ok := m.Changes[c.ChangeID]; ok {
+		if v.Digest != c.Digest {
+			return nil, &ChangeReusedError{ChangeID: c.ChangeID}
+		}
+		return &v, nil
+	}
+	v := Verdict{ChangeID: c.ChangeID, Base: c.Base, Digest: c.Digest, Version: m.Config.Version}
+	switch {
+	case c.Base > m.Config.Version:
+		v.Reason = fmt.Sprintf("there is no version %d yet", c.Base)
+	case c.Base < m.Config.Version:
+		v.Winner = m.Winners[c.Base+1]
+	default:
+		m.accept(c, &v)
+	}
+	m.Changes[c.ChangeID] = v
+	return &v, nil
+}
+
+// accept makes the change the next version, unless it leads to another
+// configuration than the operator meant or one that can't be read.
+func (m *Machine) accept(c ApplyConfig, v *Verdict) {
+	next, err := m.try(c)
+	if err != nil {
+		v.Reason = err.Error()
+		return
+	}
+	m.Config.Apply(c.Change)
+	m.doc = next
+	m.Winners[m.Config.Version] = c.ChangeID
+	v.Accepted = true
+	v.Version = m.Config.Version
+	for _, cu := range next.Intent.Customers {
+		m.Ledger.Create(cu.Name)
+	}
+	for _, t := range next.Environment.TopUps {
+		if err := m.Ledger.TopUp(ledger.TopUp{ID: t.ID, Customer: t.Customer, Tokens: t.Tokens}); err != nil {
+			v.Reason = strings.TrimPrefix(v.Reason+"; "+err.Error(), "; ")
+		}
+	}
+}
+
+func (m *Machine) try(c ApplyConfig) (config.Document, error) {
+	values := m.Config.Values()
+	for k, v := range c.Change.Put {
+		values[k] = v
+	}
+	for _, k := range c.Change.Delete {
+		delete(values, k)
+	}
+	if config.Fingerprint(values) != c.Digest {
+		return config.Document{}, errors.New("the change does not lead to the configuration with its digest")
+	}
+	return config.Join(values)
+}
+
+// Snapshot encodes the state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.ClaimList = m.ClaimList[:0]
+	for _, r := range m.Claims {
+		m.ClaimList = append(m.ClaimList, r)
+	}
+	return cbor.Marshal(m)
+}
+
+// Restore replaces the state by a snapshot's.
+func (m *Machine) Restore(data []byte) error {
+	next := New()
+	if err := cbor.Unmarshal(data, next); err != nil {
+		return fmt.Errorf("decoding a snapshot: %w", err)
+	}
+	next.Ledger.Restore()
+	for _, r := range next.ClaimList {
+		next.Claims[r.ClaimKey] = r
+	}
+	doc, err := config.Join(next.Config.Values())
+	if err != nil {
+		return err
+	}
+	next.doc = doc
+	*m = *next
+	return nil
+}
+
+// Encode returns a command's form in the log.
+func Encode(c Command) ([]byte, error) {
+	return cbor.Marshal(c)
+}
+
+// Decode reads a command from the log.
+func Decode(data []byte) (Command, error) {
+	var c Command
+	err := cbor.Unmarshal(data, &c)
+	return c, err
+}
+
+// ChangeReusedError says that a change id came with another change.
+type ChangeReusedError struct {
+	ChangeID string
+}
+
+// Error implements error.
+func (e *ChangeReusedError) Error() string {
+	return fmt.Sprintf("change id %q was used for another change", e.ChangeID)
+}
--- /dev/null
+++ b/io/admin/messages.go
@@ -0,0 +1,134 @@
+package admin
+
+import (
+	"net/netip"
+
+	"dotterelgap/core/config"
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/raft"
+	"dotterelgap/core/state"
+)
+
+// The paths of the API.
+const (
+	PathConfig    = "/v1/config"
+	PathTopUps    = "/v1/top_ups"
+	PathCustomers = "/v1/customers"
+	PathStatus    = "/v1/status"
+	PathWriteOffs = "/v1/write_offs"
+	PathDrain     = "/v1/drain"
+	PathReplace   = "/v1/replace"
+	PathOrders    = "/v1/orders"
+)
+
+// ConfigReply is the configuration in force.
+type ConfigReply struct {
+	Version     uint64          `json:"version"`
+	Fingerprint uint64          `json:"fingerprint,string"`
+	Document    config.Document `json:"document"`
+}
+
+// ApplyRequest proposes a configuration.
+type ApplyRequest struct {
+	ChangeID string `json:"change_id"`
+	Base     uint64 `json:"base"`
+	// File is the document's name, for error messages.
+	File     string `json:"file"`
+	Document string `json:"document"`
+}
+
+// ApplyReply is the verdict on a change.
+type ApplyReply struct {
+	Verdict state.Verdict `json:"verdict"`
+}
+
+// CustomerReply is a customer's budget as the ledger knows it.
+type CustomerReply struct {
+	Name   string        `json:"name"`
+	Paid   escrow.Tokens `json:"paid"`
+	Billed escrow.Tokens `json:"billed"`
+	Free   escrow.Tokens `json:"free"`
+	// Granted is set aside for holders; Spent is what they reported of it.
+	Granted escrow.Tokens `json:"granted"`
+	Spent   escrow.Tokens `json:"spent"`
+	Grants  []GrantReply  `json:"grants"`
+}
+
+// GrantReply is an open grant.
+type GrantReply struct {
+	ID          escrow.GrantID `json:"id"`
+	Place       fleet.Place    `json:"place"`
+	Holder      fleet.NodeID   `json:"holder"`
+	Amount      escrow.Tokens  `json:"amount"`
+	Outstanding escrow.Tokens  `json:"outstanding"`
+	Spent       escrow.Tokens  `json:"spent"`
+	Settling    bool           `json:"settling,omitempty"`
+	// Doubt says why the grant can't be settled at present.
+	Doubt string `json:"doubt,omitempty"`
+}
+
+// NodeReply is a live process.
+type NodeReply struct {
+	fleet.Node
+	Config  uint64 `json:"config"`
+	Lags    bool   `json:"lags,omitempty"`
+	Running int    `json:"running,omitempty"`
+	Waiting int    `json:"waiting,omitempty"`
+}
+
+// StatusReply is the state of the fleet.
+type StatusReply struct {
+	Version     uint64      `json:"version"`
+	Environment string      `json:"environment"`
+	Control     raft.Status `json:"control"`
+	Nodes       []NodeReply `json:"nodes"`
+	// Lagging lists the processes in which an older version is in force.
+	Lagging []fleet.NodeID `json:"lagging"`
+	Doubts  []GrantReply   `json:"doubts"`
+}
+
+// DrainRequest asks a process to leave.
+type DrainRequest struct {
+	Node fleet.NodeID `json:"node"`
+}
+
+// ReplaceRequest takes a lost control host out of the group, in favour of one
+// that has joined.
+type ReplaceRequest struct {
+	Lost raft.MemberID `json:"lost"`
+}
+
+// ReplaceReply says how far a replacement has come. It is complete once the
+// group could lose any other host.
+type ReplaceReply struct {
+	Complete bool           `json:"complete"`
+	Message  string         `json:"message"`
+	Members  []raft.Member  `json:"members"`
+	Addr     netip.AddrPort `json:"-"`
+}
+
+// OrderRequest gives an engine an order through its agent.
+type OrderRequest struct {
+	ID     string       `json:"id"`
+	Agent  fleet.NodeID `json:"agent"`
+	Action string       `json:"action"`
+	Name   string       `json:"name"`
+}
+
+// OrderReply says whether the engine took the order.
+type OrderReply struct {
+	Number  uint64 `json:"number"`
+	Done    bool   `json:"done"`
+	Message string `json:"message,omitempty"`
+}
+
+// Failure is the body of every answer that is not a success.
+type Failure struct {
+	Status  int    `json:"-"`
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.Message }
--- /dev/null
+++ b/io/agent/beat.go
@@ -0,0 +1,142 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/wire"
+
+	"go.uber.org/zap"
+)
+
+// Limits of one announcement.
+const (
+	beatTimeout  = 3 * time.Second
+	leaveTimeout = 2 * time.Second
+)
+
+func (a *Agent) beatLoop(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		a.beat(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.kick:
+		}
+	}
+}
+
+// beatSoon announces without waiting for the next interval.
+func (a *Agent) beatSoon() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Agent) beat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	args := a.announcement()
+	reply, err := ctrl.Call[wire.BeatReply](ctx, a.client, "Control.Beat", &args)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	if err != nil {
+		a.log.Warn("agent: no answer from the control group", zap.Error(err))
+		return
+	}
+	a.client.SetAddrs(reply.Control)
+	if a.takeReply(reply) {
+		a.beatSoon()
+	}
+}
+
+func (a *Agent) announcement() wire.BeatArgs {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	args := wire.BeatArgs{
+		Node: a.deps.Node, Config: 1, Roster: a.roster,
+		Load: a.load(), Unknown: a.meter.Unknown(),
+	}
+	if !a.orders.known {
+		args.Config = 0
+	}
+	for _, g := range a.fences {
+		args.Reports = append(args.Reports, a.fence(g))
+	}
+	return args
+}
+
+// fence closes a grant here and reports on it as meter and as witness.
+func (a *Agent) fence(g escrow.Grant) escrow.Report {
+	r := a.meter.Fence(g.ID)
+	for _, w := range g.Witnesses {
+		if w == a.deps.Node.ID {
+			r.Witness = true
+			r.Watermark = a.witness.Fence(g)
+		}
+	}
+	return r
+}
+
+// takeReply tells whether the control group waits for a report.
+func (a *Agent) takeReply(reply wire.BeatReply) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if reply.Joined == 0 {
+		a.log.Warn("agent: the control group counts this process as ended")
+		a.book.Drain()
+		return false
+	}
+	a.meter.Join(reply.Joined)
+	a.orders.learn(reply.Order)
+	if reply.Roster != nil {
+		a.roster = reply.Roster.Version
+	}
+	for _, id := range reply.Open {
+		a.meter.Confirm(id, true)
+	}
+	for _, id := range reply.Shut {
+		a.meter.Confirm(id, false)
+	}
+	fresh := len(reply.Fence) > len(a.fences)
+	a.fences = reply.Fence
+	for _, g := range reply.Fence {
+		a.meter.Fence(g.ID)
+	}
+	a.meter.SetFloor(reply.Floor)
+	a.witness.SetFloor(reply.Floor)
+	if !a.joined {
+		a.joined = true
+		a.log.Info("agent: joined", zap.String("service", a.deps.Node.Service))
+	}
+	a.book.Ready()
+	return fresh
+}
+
+// leave hands the accounts over to the ledger. Where it fails, the grants in
+// question stay in doubt until an operator decides.
+func (a *Agent) leave() {
+	a.mu.Lock()
+	args := wire.BeatArgs{Node: a.deps.Node, Left: true, Reports: a.meter.Accounts()}
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if _, err := ctrl.Call[wire.BeatReply](ctx, a.client, "Control.Beat", &args); err != nil {
+		a.log.Warn("agent: accounts could not be handed over", zap.Error(err))
+	}
+}
+
+// load is the upstream's work as this agent sees it. Callers hold mu.
+func (a *Agent) load() wire.Load {
+	running := a.book.Running()
+	slots := max(a.deps.Node.Slots, 1)
+	return wire.Load{Running: min(running, slots), Waiting: max(running-slots, 0)}
+}
--- /dev/null
+++ b/io/agent/events.go
@@ -0,0 +1,158 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/io/wire"
+)
+
+// maxEvent bounds one server-sent event, in bytes.
+const maxEvent = 1 << 20
+
+var (
+	dataPrefix = []byte("data:")
+	doneMarker = []byte("[DONE]")
+	usageField = []byte(`"usage"`)
+)
+
+// answerError says what is wrong with an upstream's answer.
+type answerError struct {
+	message string
+}
+
+func (e *answerError) Error() string { return "bad answer of the upstream: " + e.message }
+
+// tokenMeter counts the tokens of a model's answer. The engine's own count goes
+// first; without one, each event counts as a token and the prompt as its bound.
+type tokenMeter struct {
+	prompt     escrow.Tokens
+	completion escrow.Tokens
+	limit      escrow.Tokens
+}
+
+func newTokenMeter(r wire.Request) *tokenMeter {
+	return &tokenMeter{prompt: r.PromptTokens, limit: r.MaxOutput}
+}
+
+// usage is the engine's count in a chunk of the chat/completions shape.
+type usage struct {
+	Usage *struct {
+		Prompt     escrow.Tokens `json:"prompt_tokens"`
+		Completion escrow.Tokens `json:"completion_tokens"`
+	} `json:"usage"`
+	Choices []json.RawMessage `json:"choices"`
+}
+
+// event counts one event.
+func (m *tokenMeter) event(data []byte) error {
+	if !json.Valid(data) {
+		return &answerError{"an event is not JSON"}
+	}
+	if !bytes.Contains(data, usageField) {
+		m.completion++
+		return m.check()
+	}
+	var u usage
+	if err := json.Unmarshal(data, &u); err != nil {
+		return &answerError{err.Error()}
+	}
+	if u.Usage == nil {
+		m.completion++
+		return m.check()
+	}
+	m.prompt = min(m.prompt, max(u.Usage.Prompt, 0))
+	m.completion = max(u.Usage.Completion, 0)
+	return m.check()
+}
+
+func (m *tokenMeter) total() escrow.Tokens {
+	return m.prompt + min(m.completion, m.limit)
+}
+
+func (m *tokenMeter) check() error {
+	if m.completion > m.limit {
+		return &answerError{"the engine made more tokens than it was allowed"}
+	}
+	return nil
+}
+
+// use books what was made, once it is known.
+func (c *call) use(used escrow.Tokens) {
+	c.agent.mu.Lock()
+	defer c.agent.mu.Unlock()
+	c.agent.book.Use(c.id, used)
+}
+
+// copyEvents passes a stream of server-sent events on, event by event. A stream
+// without its end marker is not whole.
+func (c *call) copyEvents(body io.Reader, m *tokenMeter) error {
+	sc := bufio.NewScanner(body)
+	sc.Buffer(make([]byte, 0, 4096), maxEvent)
+	sc.Split(splitEvent)
+	done := false
+	for sc.Scan() {
+		if done {
+			return &answerError{"an event follows the end marker"}
+		}
+		event := sc.Bytes()
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(event), dataPrefix)
+		if !ok {
+			return &answerError{"an event has no data"}
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, doneMarker) {
+			done = true
+		} else if err := m.event(data); err != nil {
+			return err
+		}
+		c.answer.append(event)
+	}
+	if err := sc.Err(); err != nil {
+		return err
+	}
+	if !done {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// splitEvent returns one event with its blank line. What is left at the end
+// without a blank line is not a whole event.
+func splitEvent(data []byte, atEOF bool) (int, []byte, error) {
+	if i := bytes.Index(data, []byte("\n\n")); i >= 0 {
+		return i + 2, data[:i+2], nil
+	}
+	if !atEOF {
+		return 0, nil, nil
+	}
+	if len(bytes.TrimSpace(data)) > 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return len(data), nil, nil
+}
+
+// copyCompletion passes on an answer that comes in one piece.
+func (c *call) copyCompletion(body io.Reader, m *tokenMeter) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswer+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > maxAnswer {
+		return &answerError{"the answer is too long"}
+	}
+	var u usage
+	if err := json.Unmarshal(data, &u); err != nil || u.Usage == nil {
+		m.completion = m.limit
+		return errors.Join(&answerError{"it has no usage count"}, err)
+	}
+	if err := m.event(data); err != nil {
+		return err
+	}
+	c.answer.append(data)
+	return nil
+}
--- /dev/null
+++ b/io/agent/run.go
@@ -0,0 +1,170 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"dotterelgap/core/runs"
+	"dotterelgap/io/telem"
+	"dotterelgap/io/wire"
+
+	"go.uber.org/zap"
+)
+
+// start runs a dispatch in the background. Callers hold mu.
+func (a *Agent) start(id runs.ID, d wire.Dispatch) *answer {
+	ctx, cancel := context.WithTimeout(context.Background(), d.Timeout)
+	ans := newAnswer(cancel)
+	a.answers[id] = ans
+	a.work.Go(func() {
+		defer cancel()
+		a.run(telem.Extract(ctx, d.Trace), id, d, ans)
+	})
+	return ans
+}
+
+// run calls the upstream and books the result.
+func (a *Agent) run(ctx context.Context, id runs.ID, d wire.Dispatch, ans *answer) {
+	ctx, span := telem.Span(ctx, "agent.run")
+	defer span.End()
+	c := &call{agent: a, id: id, dispatch: d, answer: ans}
+	err := c.do(ctx)
+	var never *notSentError
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if errors.As(err, &never) {
+		a.book.NotRun(time.Now(), id)
+		delete(a.answers, id)
+		ans.finish(wire.Piece{Kind: wire.PieceRefused, Attempt: d.Attempt, Code: wire.CodeUpstreamDown, Message: err.Error()})
+		return
+	}
+	used := a.book.End(time.Now(), id, ans.size())
+	end := wire.Piece{Kind: wire.PieceEnd, Attempt: d.Attempt, Used: used, Parts: d.Parts}
+	if err != nil {
+		a.log.Warn("agent: run failed", zap.String("key", d.Key), zap.Error(err))
+		end.Kind, end.Code, end.Message = wire.PieceFailed, failureCode(ctx, err), err.Error()
+	}
+	ans.finish(end)
+}
+
+func failureCode(ctx context.Context, err error) string {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return wire.CodeTimeout
+	case errors.Is(err, context.Canceled):
+		return wire.CodeCanceled
+	}
+	return wire.CodeUpstreamBad
+}
+
+// notSentError says that nothing of a call reached the upstream.
+type notSentError struct {
+	err error
+}
+
+func (e *notSentError) Error() string { return "the upstream was not reached: " + e.err.Error() }
+
+func (e *notSentError) Unwrap() error { return e.err }
+
+// call is one call of the upstream.
+type call struct {
+	agent    *Agent
+	id       runs.ID
+	dispatch wire.Dispatch
+	answer   *answer
+}
+
+func (c *call) do(ctx context.Context) error {
+	ctx, span := telem.Span(ctx, "upstream")
+	defer span.End()
+	sent := &wire.SentTracker{}
+	req, err := c.request(sent.Attach(ctx))
+	if err != nil {
+		return &notSentError{err}
+	}
+	client := c.agent.http
+	if !c.dispatch.Request.Repeatable {
+		client = c.agent.once
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if !sent.Connected() {
+			return &notSentError{err}
+		}
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.receive(resp)
+}
+
+func (c *call) request(ctx context.Context) (*http.Request, error) {
+	r := c.dispatch.Request
+	u := *c.agent.deps.Upstream
+	path, query, _ := strings.Cut(r.Path, "?")
+	u.Path = strings.TrimSuffix(u.Path, "/") + path
+	u.RawQuery = query
+	req, err := http.NewRequestWithContext(ctx, r.Method, u.String(), bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport can't send the request a second time.
+	req.GetBody = nil
+	if r.ContentType != "" {
+		req.Header.Set("Content-Type", r.ContentType)
+	}
+	if r.Key != "" {
+		req.Header.Set("Idempotency-Key", r.Key)
+	}
+	if parent := telem.Inject(ctx); parent != "" {
+		req.Header.Set("Traceparent", parent)
+	}
+	return req, nil
+}
+
+// receive passes the answer on and meters it.
+func (c *call) receive(resp *http.Response) error {
+	c.answer.setHead(wire.Piece{
+		Kind: wire.PieceHead, Attempt: c.dispatch.Attempt,
+		Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"),
+	})
+	if !c.dispatch.Request.Model {
+		c.use(c.dispatch.Request.FixedTokens)
+		return c.copyBody(resp.Body)
+	}
+	m := newTokenMeter(c.dispatch.Request)
+	if resp.StatusCode != http.StatusOK {
+		return c.copyBody(resp.Body)
+	}
+	defer func() { c.use(m.total()) }()
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return c.copyEvents(resp.Body, m)
+	}
+	return c.copyCompletion(resp.Body, m)
+}
+
+func (c *call) copyBody(body io.Reader) error {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if c.answer.size()+int64(n) > maxAnswer {
+				return &answerError{"the answer is too long"}
+			}
+			c.answer.append(buf[:n])
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// maxAnswer bounds an answer's body, in bytes.
+const maxAnswer = 32 << 20
--- /dev/null
+++ b/io/agent/service.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/runs"
+	"dotterelgap/io/wire"
+)
+
+// Service is the net/rpc service "Agent".
+type Service struct {
+	a *Agent
+}
+
+// Claim answers as a witness of grants.
+func (s *Service) Claim(args *escrow.Claim, reply *escrow.ClaimReply) error {
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	*reply = s.a.witness.Claim(*args)
+	return nil
+}
+
+// Grants lists what this witness knows of a customer's grants.
+func (s *Service) Grants(args *wire.GrantsArgs, reply *wire.GrantsReply) error {
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	reply.Grants = s.a.witness.Grants(args.Customer, args.Place)
+	return nil
+}
+
+// Resolve finds out what became of an attempt, and makes sure that one that
+// has not started never will.
+func (s *Service) Resolve(args *wire.RunID, reply *wire.Resolved) error {
+	if args.Agent != s.a.deps.Node.ID {
+		reply.OtherLife = true
+		return nil
+	}
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	r := s.a.book.Resolve(runs.ID{Customer: args.Customer, Key: args.Key}, args.Attempt)
+	*reply = wire.Resolved{NotRun: r.NotRun, Running: r.Running, Expired: r.Expired, Used: r.Used}
+	return nil
+}
+
+// Ack notes that a charge was booked.
+func (s *Service) Ack(args *wire.AckArgs, _ *wire.Empty) error {
+	if args.Agent != s.a.deps.Node.ID {
+		return nil
+	}
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	s.a.book.Ack(runs.ID{Customer: args.Customer, Key: args.Key}, args.Attempt, args.Billed)
+	return nil
+}
+
+// Cancel stops a run whose caller is gone. What was made is charged.
+func (s *Service) Cancel(args *wire.RunID, _ *wire.Empty) error {
+	if args.Agent != s.a.deps.Node.ID {
+		return nil
+	}
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	if ans, ok := s.a.answers[runs.ID{Customer: args.Customer, Key: args.Key}]; ok {
+		ans.cancel()
+	}
+	return nil
+}
+
+// Drain makes the agent leave: it refuses new work at once.
+func (s *Service) Drain(_ *wire.Empty, _ *wire.Empty) error {
+	s.a.Drain()
+	if s.a.deps.Stop != nil {
+		s.a.deps.Stop()
+	}
+	return nil
+}
--- /dev/null
+++ b/io/agent/stream.go
@@ -0,0 +1,128 @@
+package agent
+
+import (
+	"encoding/gob"
+	"net/http"
+	"time"
+
+	"dotterelgap/core/runs"
+	"dotterelgap/io/wire"
+)
+
+// maxDispatch bounds a dispatch's size, in bytes.
+const maxDispatch = 64 << 20
+
+// serveRun admits a dispatch and streams the run's answer to the entry.
+func (a *Agent) serveRun(w http.ResponseWriter, r *http.Request) {
+	var d wire.Dispatch
+	if err := gob.NewDecoder(http.MaxBytesReader(w, r.Body, maxDispatch)).Decode(&d); err != nil {
+		http.Error(w, "the dispatch can't be read", http.StatusBadRequest)
+		return
+	}
+	out := &pieceWriter{w: w, enc: gob.NewEncoder(w), key: d.Key, attempt: d.Attempt}
+	ans, refusal := a.admit(d)
+	if refusal != nil {
+		out.write(*refusal)
+		return
+	}
+	a.follow(r, ans, d.Offset, out)
+}
+
+// follow sends what the answer has and will have from an offset on.
+func (a *Agent) follow(r *http.Request, ans *answer, offset int64, out *pieceWriter) {
+	sentHead := false
+	for {
+		v := ans.at(offset)
+		if v.head != nil && !sentHead {
+			sentHead = true
+			out.write(*v.head)
+		}
+		if len(v.data) > 0 {
+			out.write(wire.Piece{Kind: wire.PieceData, Offset: offset, Data: v.data})
+			offset += int64(len(v.data))
+		}
+		if v.end != nil {
+			end := *v.end
+			end.Load = a.currentLoad()
+			out.write(end)
+			return
+		}
+		if out.err != nil {
+			return
+		}
+		out.flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-v.grown:
+		}
+	}
+}
+
+func (a *Agent) currentLoad() wire.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.load()
+}
+
+// pieceWriter stamps pieces with their request and sends them.
+type pieceWriter struct {
+	w       http.ResponseWriter
+	enc     *gob.Encoder
+	key     string
+	attempt int
+	err     error
+}
+
+func (p *pieceWriter) write(piece wire.Piece) {
+	if p.err != nil {
+		return
+	}
+	piece.Key = p.key
+	if piece.Attempt == 0 {
+		piece.Attempt = p.attempt
+	}
+	p.err = p.enc.Encode(&piece)
+}
+
+func (p *pieceWriter) flush() {
+	if f, ok := p.w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// admit starts or joins a run, or returns the refusal.
+func (a *Agent) admit(d wire.Dispatch) (*answer, *wire.Piece) {
+	if d.Agent != a.deps.Node.ID {
+		return nil, &wire.Piece{Kind: wire.PieceRefused, Code: wire.CodeOtherLife}
+	}
+	id := runs.ID{Customer: d.Customer, Key: d.Key}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	dec := a.book.Admit(time.Now(), runs.Spec{
+		ID: id, Attempt: d.Attempt, Body: d.Body, Parts: d.Parts, Retried: d.Retried, AttachOnly: d.AttachOnly,
+	})
+	a.forgetAnswers()
+	switch dec.Action {
+	case runs.Attach:
+		return a.answers[id], nil
+	case runs.Start:
+		return a.start(id, d), nil
+	}
+	if dec.Reason == runs.ReasonUnknownGrant {
+		a.beatSoon()
+	}
+	return nil, &wire.Piece{Kind: wire.PieceRefused, Code: string(dec.Reason), Load: a.load()}
+}
+
+// forgetAnswers drops the answers of runs that the book no longer keeps.
+func (a *Agent) forgetAnswers() {
+	if len(a.answers) <= a.book.Len() {
+		return
+	}
+	for id := range a.answers {
+		if !a.book.Kept(id) {
+			delete(a.answers, id)
+		}
+	}
+}
--- /dev/null
+++ b/io/ctrl/ask.go
@@ -0,0 +1,143 @@
+package ctrl
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"dotterelgap/core/raft"
+	"dotterelgap/core/state"
+	"dotterelgap/io/wire"
+)
+
+// askTimeout bounds one request to a control host.
+const askTimeout = 3 * time.Second
+
+// hint says whether this host leads, and who does. Loop only.
+func (h *Host) hint() wire.Hint {
+	s := h.machine.Status()
+	if s.Role == raft.Leader {
+		return wire.Hint{}
+	}
+	hint := wire.Hint{NotLeader: true}
+	if m, ok := s.Members.Find(s.Leader); ok {
+		hint.Leader = m.Addr
+	}
+	return hint
+}
+
+// propose appends a command at the leader; done, if not nil, gets its outcome.
+// Loop only.
+func (h *Host) propose(now time.Time, c state.Command, done chan outcome) {
+	c.At = now
+	data, err := state.Encode(c)
+	if err != nil {
+		h.log.Error("control: command can't be encoded")
+		answerLost(done)
+		return
+	}
+	index, term, err := h.machine.Propose(now, data)
+	if err != nil {
+		answerLost(done)
+		return
+	}
+	if done != nil {
+		h.waiters[index] = waiter{term: term, done: done}
+	}
+}
+
+func answerLost(done chan outcome) {
+	if done != nil {
+		done <- outcome{lost: true}
+	}
+}
+
+// commit proposes a command and waits for its outcome. The hint says where to
+// ask again if this host does not lead or stopped leading on the way.
+func (h *Host) commit(c state.Command) (state.Result, wire.Hint) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	done := make(chan outcome, 1)
+	hints := make(chan wire.Hint, 1)
+	err := h.post(ctx, func(now time.Time) {
+		hint := h.hint()
+		hints <- hint
+		if !hint.NotLeader {
+			h.propose(now, c, done)
+		}
+	})
+	if err != nil {
+		return state.Result{}, wire.Hint{NotLeader: true}
+	}
+	select {
+	case <-ctx.Done():
+		return state.Result{}, wire.Hint{NotLeader: true}
+	case hint := <-hints:
+		if hint.NotLeader {
+			return state.Result{}, hint
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return state.Result{}, wire.Hint{NotLeader: true}
+	case o := <-done:
+		return o.res, wire.Hint{NotLeader: o.lost}
+	}
+}
+
+// confirm waits until a quorum has confirmed that this host leads.
+func (h *Host) confirm() wire.Hint {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	done := make(chan bool, 1)
+	hints := make(chan wire.Hint, 1)
+	err := h.post(ctx, func(now time.Time) {
+		h.nextRead++
+		if err := h.machine.Read(now, h.nextRead); err != nil {
+			hint := h.hint()
+			hint.NotLeader = true
+			hints <- hint
+			return
+		}
+		h.reads[h.nextRead] = done
+	})
+	if err != nil {
+		return wire.Hint{NotLeader: true}
+	}
+	select {
+	case <-ctx.Done():
+		return wire.Hint{NotLeader: true}
+	case hint := <-hints:
+		return hint
+	case ok := <-done:
+		return wire.Hint{NotLeader: !ok}
+	}
+}
+
+// view runs f on the loop and waits for it.
+func (h *Host) view(f func(now time.Time)) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	err := h.post(ctx, func(now time.Time) {
+		f(now)
+		close(done)
+	})
+	if err != nil {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-done:
+		return true
+	}
+}
+
+func (h *Host) memberAddrs() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range h.machine.Status().Members.Members {
+		out = append(out, m.Addr)
+	}
+	return out
+}
--- /dev/null
+++ b/io/ctrl/duty.go
@@ -0,0 +1,176 @@
+package ctrl
+
+import (
+	"slices"
+	"time"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/ledger"
+	"dotterelgap/core/raft"
+	"dotterelgap/core/state"
+	"dotterelgap/io/wire"
+)
+
+// duty is what only a leader keeps, in memory: who is alive, what agents said
+// of fenced grants, and which grants are recalled.
+type duty struct {
+	presence *fleet.Presence
+	loads    map[fleet.NodeID]wire.Load
+	reports  map[escrow.GrantID]map[fleet.NodeID]escrow.Report
+	recalls  map[fleet.NodeID][]escrow.GrantID
+	// proposed holds what was proposed for a grant and is not applied yet.
+	proposed map[escrow.GrantID]time.Time
+	roster   *wire.Roster
+	builtFor uint64
+}
+
+// proposeAgain is the time after which an unanswered proposal is repeated.
+const proposeAgain = time.Second
+
+func newDuty(p *fleet.Presence) *duty {
+	d := &duty{presence: p}
+	d.reset(time.Time{})
+	return d
+}
+
+func (d *duty) reset(now time.Time) {
+	d.presence.Reset(now)
+	d.loads = map[fleet.NodeID]wire.Load{}
+	d.reports = map[escrow.GrantID]map[fleet.NodeID]escrow.Report{}
+	d.recalls = map[fleet.NodeID][]escrow.GrantID{}
+	d.proposed = map[escrow.GrantID]time.Time{}
+	d.roster = nil
+}
+
+func (d *duty) report(r escrow.Report) {
+	m, ok := d.reports[r.Grant]
+	if !ok {
+		m = map[fleet.NodeID]escrow.Report{}
+		d.reports[r.Grant] = m
+	}
+	m[r.Agent] = r
+}
+
+// fences lists the settling grants on which an agent's word is not final yet.
+func (d *duty) fences(agent fleet.NodeID, settling []escrow.Grant) []escrow.Grant {
+	var out []escrow.Grant
+	for _, g := range settling {
+		r, ok := d.reports[g.ID][agent]
+		if !ok || !r.Done() {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+func (d *duty) recall(l *ledger.Ledger, ids []escrow.GrantID) {
+	for _, id := range ids {
+		g, ok := l.Grants[id]
+		if !ok {
+			continue
+		}
+		holder := g.Grant.Holder
+		if !slices.Contains(d.recalls[holder], id) {
+			d.recalls[holder] = append(d.recalls[holder], id)
+		}
+	}
+}
+
+// takeRecalls returns and clears the recalls for a holder.
+func (d *duty) takeRecalls(holder fleet.NodeID) []escrow.GrantID {
+	ids := d.recalls[holder]
+	delete(d.recalls, holder)
+	return ids
+}
+
+// rosterFor lists the live entries and the live agents that have joined.
+func (d *duty) rosterFor(term uint64, l *ledger.Ledger) *wire.Roster {
+	if d.roster != nil && d.builtFor == d.presence.Version() && d.roster.Version.Term == term {
+		return d.roster
+	}
+	d.builtFor = d.presence.Version()
+	r := &wire.Roster{Version: wire.RosterVersion{Term: term, Seq: d.builtFor}}
+	for _, s := range d.presence.Nodes() {
+		if s.Node.Role == fleet.RoleAgent && !joined(l, s.Node.ID) {
+			continue
+		}
+		r.Nodes = append(r.Nodes, s.Node)
+	}
+	d.roster = r
+	return r
+}
+
+func joined(l *ledger.Ledger, id fleet.NodeID) bool {
+	a, ok := l.Agents[id]
+	return ok && !a.Gone
+}
+
+// work is the leader's regular work.
+func (h *Host) work(now time.Time) {
+	if now.Sub(h.dutyAt) < dutyInterval || h.machine.Status().Role != raft.Leader {
+		return
+	}
+	h.dutyAt = now
+	h.duty.presence.Expire(now)
+	h.settleDead(now)
+	h.advanceSettling(now)
+	h.promoteJoined(now)
+}
+
+// settleDead starts to take back the grants of holders that are silent.
+func (h *Host) settleDead(now time.Time) {
+	for _, holder := range h.state.Ledger.Holders() {
+		if !h.duty.presence.Suspects(now, holder) {
+			continue
+		}
+		ids := h.state.Ledger.HeldBy(holder)
+		if len(ids) > 0 && h.mayPropose(now, ids[0]) {
+			h.propose(now, state.Command{Settle: ids}, nil)
+		}
+	}
+}
+
+func (h *Host) advanceSettling(now time.Time) {
+	var steps []ledger.Progress
+	settling := h.state.Ledger.Settling()
+	for _, g := range settling {
+		p, ok := h.state.Ledger.Assess(g.ID, h.duty.reports[g.ID])
+		if ok && h.mayPropose(now, g.ID) {
+			steps = append(steps, p)
+		}
+	}
+	if len(steps) > 0 {
+		h.propose(now, state.Command{Progress: steps}, nil)
+	}
+	for id := range h.duty.reports {
+		if _, open := h.state.Ledger.Grants[id]; !open {
+			delete(h.duty.reports, id)
+			delete(h.duty.proposed, id)
+		}
+	}
+}
+
+func (h *Host) mayPropose(now time.Time, id escrow.GrantID) bool {
+	if now.Sub(h.duty.proposed[id]) < proposeAgain {
+		return false
+	}
+	h.duty.proposed[id] = now
+	return true
+}
+
+// promoteJoined makes caught-up learners voters while the group is too small.
+func (h *Host) promoteJoined(now time.Time) {
+	ms := h.machine.Status().Members
+	if ms.Voters() >= h.deps.Size {
+		return
+	}
+	for _, m := range ms.Members {
+		if m.Voter {
+			continue
+		}
+		if _, err := h.machine.Promote(now, m.ID); err == nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/ctrl/host.go
@@ -0,0 +1,295 @@
+package ctrl
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"dotterelgap/core/config"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/raft"
+	"dotterelgap/core/state"
+	"dotterelgap/io/disk"
+	"dotterelgap/io/wire"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+)
+
+// Sizes and times of a control host.
+const (
+	queueLength    = 4096
+	batchLimit     = 512
+	tickInterval   = 20 * time.Millisecond
+	dutyInterval   = 100 * time.Millisecond
+	suspectAfter   = 2 * time.Second
+	compactEntries = 20_000
+)
+
+// Deps is what a Host needs.
+type Deps struct {
+	Log      *zap.Logger
+	Store    *disk.Store
+	Identity disk.Identity
+	Saved    raft.Saved
+	Pool     *wire.Pool
+	Addr     netip.AddrPort
+	// Peers are addresses of other control hosts, as far as known.
+	Peers []netip.AddrPort
+	// Size is the number of voters up to which joining hosts are promoted.
+	Size int
+	// FirstOperator may apply the first configuration.
+	FirstOperator config.Digest
+	Rand          *rand.Rand
+	Election      time.Duration
+	// Fatal is called once the disk has failed; the process must end then.
+	Fatal func(error)
+}
+
+// task runs on the host's goroutine.
+type task func(now time.Time)
+
+// Host is one control host.
+type Host struct {
+	deps    Deps
+	log     *zap.Logger
+	queue   chan task
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	metrics *metrics
+
+	// All below belongs to the loop.
+	machine  *raft.Machine
+	state    *state.Machine
+	applied  uint64
+	waiters  map[uint64]waiter
+	reads    map[uint64]chan bool
+	nextRead uint64
+	senders  map[raft.MemberID]*sender
+	// book holds the addresses of members that wrote to this host.
+	book    map[raft.MemberID]netip.AddrPort
+	duty    *duty
+	wasRole raft.Role
+	dutyAt  time.Time
+	failed  bool
+}
+
+type waiter struct {
+	term uint64
+	done chan outcome
+}
+
+type outcome struct {
+	res  state.Result
+	lost bool
+}
+
+// Start loads the saved state and runs the host until Close.
+func Start(deps Deps) (*Host, error) {
+	h := &Host{
+		deps:    deps,
+		log:     deps.Log,
+		queue:   make(chan task, queueLength),
+		state:   state.New(),
+		waiters: map[uint64]waiter{},
+		reads:   map[uint64]chan bool{},
+		senders: map[raft.MemberID]*sender{},
+		book:    map[raft.MemberID]netip.AddrPort{},
+		duty:    newDuty(fleet.NewPresence(suspectAfter)),
+		metrics: newMetrics(),
+	}
+	if err := h.restore(deps.Saved.Snapshot); err != nil {
+		return nil, err
+	}
+	h.machine = raft.New(raft.Params{
+		Self: deps.Identity.Member, Saved: deps.Saved, Rand: deps.Rand,
+		Now: time.Now(), Election: deps.Election,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.wg.Go(func() { h.run(ctx) })
+	return h, nil
+}
+
+// restore replaces the state by a snapshot's. A new group's first snapshot has
+// no data: its state is empty.
+func (h *Host) restore(s raft.Snapshot) error {
+	h.applied = s.Index
+	if len(s.Data) == 0 {
+		return nil
+	}
+	return trace.Wrap(h.state.Restore(s.Data))
+}
+
+// run is the loop that owns the state.
+func (h *Host) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	defer h.stopSenders()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-h.queue:
+			t(time.Now())
+			h.drain()
+		case <-ticker.C:
+		}
+		now := time.Now()
+		h.machine.Tick(now)
+		h.work(now)
+		h.flush(now)
+	}
+}
+
+// drain runs what has queued up, so that it shares one sync.
+func (h *Host) drain() {
+	for range batchLimit {
+		select {
+		case t := <-h.queue:
+			t(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// flush carries out what the log machine wants, until it wants nothing.
+func (h *Host) flush(now time.Time) {
+	for !h.failed {
+		out := h.machine.Take()
+		if out.Empty() {
+			break
+		}
+		if err := h.persist(out); err != nil {
+			h.fail(err)
+			return
+		}
+		h.machine.Stable(now, h.machine.LastIndex())
+		h.send(out.Messages)
+		h.apply(out)
+		h.answerReads(out.Reads)
+	}
+	h.watchRole(now)
+	h.compact()
+}
+
+func (h *Host) persist(out raft.Output) error {
+	if out.Installed != nil {
+		if err := h.restore(*out.Installed); err != nil {
+			return err
+		}
+		return h.deps.Store.Compact(*out.Installed, h.machine.HardState(), h.machine.Tail())
+	}
+	if out.State == nil && len(out.Entries) == 0 {
+		return nil
+	}
+	h.metrics.synced(len(out.Entries))
+	return h.deps.Store.Append(out.State, out.Entries)
+}
+
+// fail stops the host: after a failed sync it can't know what lasts.
+func (h *Host) fail(err error) {
+	h.failed = true
+	h.log.Error("control: disk failed, stopping", zap.Error(err))
+	h.loseWaiters()
+	h.deps.Fatal(err)
+}
+
+func (h *Host) apply(out raft.Output) {
+	for _, e := range out.Committed {
+		h.applied = e.Index
+		var res state.Result
+		if e.Kind == raft.EntryCommand {
+			res = h.applyCommand(e)
+		}
+		w, ok := h.waiters[e.Index]
+		if !ok {
+			continue
+		}
+		delete(h.waiters, e.Index)
+		w.done <- outcome{res: res, lost: w.term != e.Term}
+	}
+}
+
+func (h *Host) applyCommand(e raft.Entry) state.Result {
+	c, err := state.Decode(e.Data)
+	if err != nil {
+		h.log.Error("control: entry can't be decoded", zap.Uint64("index", e.Index), zap.Error(err))
+		return state.Result{Err: err}
+	}
+	return h.state.Apply(c)
+}
+
+func (h *Host) answerReads(reads []raft.Read) {
+	for _, r := range reads {
+		if ch, ok := h.reads[r.ID]; ok {
+			delete(h.reads, r.ID)
+			ch <- r.OK
+		}
+	}
+}
+
+// watchRole notices when this host starts or stops leading.
+func (h *Host) watchRole(now time.Time) {
+	role := h.machine.Status().Role
+	if role == h.wasRole {
+		return
+	}
+	if role == raft.Leader {
+		h.log.Info("control: this host leads", zap.Uint64("term", h.machine.HardState().Term))
+		h.duty.reset(now)
+	}
+	if h.wasRole == raft.Leader {
+		h.log.Info("control: this host no longer leads")
+		h.loseWaiters()
+	}
+	h.wasRole = role
+}
+
+// loseWaiters tells all who wait that the outcome is unknown here.
+func (h *Host) loseWaiters() {
+	for i, w := range h.waiters {
+		delete(h.waiters, i)
+		w.done <- outcome{lost: true}
+	}
+	for id, ch := range h.reads {
+		delete(h.reads, id)
+		ch <- false
+	}
+}
+
+func (h *Host) compact() {
+	status := h.machine.Status()
+	if h.failed || h.applied-status.First < compactEntries {
+		return
+	}
+	data, err := h.state.Snapshot()
+	if err != nil {
+		h.log.Error("control: state can't be encoded", zap.Error(err))
+		return
+	}
+	snap := h.machine.Compact(h.applied, data)
+	if err := h.deps.Store.Compact(snap, h.machine.HardState(), h.machine.Tail()); err != nil {
+		h.fail(err)
+	}
+}
+
+// post queues a task, or gives up when ctx ends.
+func (h *Host) post(ctx context.Context, t task) error {
+	select {
+	case h.queue <- t:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
+
+// Close stops the host and waits for its goroutines.
+func (h *Host) Close() error {
+	h.cancel()
+	h.wg.Wait()
+	return trace.Wrap(h.deps.Store.Close())
+}
--- /dev/null
+++ b/io/ctrl/report.go
@@ -0,0 +1,223 @@
+package ctrl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/ledger"
+	"dotterelgap/core/raft"
+	"dotterelgap/core/state"
+	"dotterelgap/io/admin"
+	"dotterelgap/io/wire"
+)
+
+func (h *Host) customerReply(name string) (any, error) {
+	var r admin.CustomerReply
+	var err error
+	ok := h.view(func(time.Time) {
+		l := h.state.Ledger
+		a, found := l.Accounts[name]
+		if !found {
+			err = &ledger.UnknownCustomerError{Customer: name}
+			return
+		}
+		r = admin.CustomerReply{Name: name, Paid: a.Paid, Billed: a.Billed, Free: l.Free(name)}
+		for _, g := range l.Grants {
+			if g.Grant.Customer != name {
+				continue
+			}
+			gr := h.grantReply(g)
+			r.Granted += gr.Outstanding
+			r.Spent += gr.Spent
+			r.Grants = append(r.Grants, gr)
+		}
+	})
+	if !ok {
+		return nil, &lostError{}
+	}
+	sortGrants(r.Grants)
+	return r, err
+}
+
+func sortGrants(gs []admin.GrantReply) {
+	slices.SortFunc(gs, func(a, b admin.GrantReply) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func (h *Host) grantReply(g *ledger.OpenGrant) admin.GrantReply {
+	r := admin.GrantReply{
+		ID: g.Grant.ID, Place: g.Grant.Place, Holder: g.Grant.Holder, Amount: g.Grant.Amount,
+		Outstanding: g.Outstanding, Settling: g.Settling,
+	}
+	for _, n := range g.Spent {
+		r.Spent += n
+	}
+	if g.Settling {
+		r.Doubt = h.doubt(g)
+	}
+	return r
+}
+
+// doubt says what the settlement of a grant waits for.
+func (h *Host) doubt(g *ledger.OpenGrant) string {
+	for _, id := range h.missing(g) {
+		return fmt.Sprintf("waits for the word of %s", id)
+	}
+	if g.Doubt {
+		return "an agent that may have spent ended without its accounts; needs a write-off"
+	}
+	return "is being settled"
+}
+
+func (h *Host) missing(g *ledger.OpenGrant) []fleet.NodeID {
+	var out []fleet.NodeID
+	for id, a := range h.state.Ledger.Agents {
+		if a.Gone {
+			continue
+		}
+		if r, ok := h.duty.reports[g.Grant.ID][id]; !ok || !r.Done() {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (h *Host) statusReply() (any, error) {
+	r := admin.StatusReply{Nodes: []admin.NodeReply{}, Lagging: []fleet.NodeID{}, Doubts: []admin.GrantReply{}}
+	ok := h.view(func(time.Time) {
+		r.Version = h.state.Config.Version
+		r.Environment = h.state.Document().Environment.Name
+		r.Control = h.machine.Status()
+		for _, s := range h.duty.presence.Nodes() {
+			load := h.duty.loads[s.Node.ID]
+			lags := s.Node.Role == fleet.RoleEntry && s.Config < r.Version
+			r.Nodes = append(r.Nodes, admin.NodeReply{Node: s.Node, Config: s.Config, Lags: lags, Running: load.Running, Waiting: load.Waiting})
+			if lags {
+				r.Lagging = append(r.Lagging, s.Node.ID)
+			}
+		}
+		for _, g := range h.state.Ledger.Settling() {
+			r.Doubts = append(r.Doubts, h.grantReply(h.state.Ledger.Grants[g.ID]))
+		}
+	})
+	if !ok {
+		return nil, &lostError{}
+	}
+	return r, nil
+}
+
+func (h *Host) findNode(id fleet.NodeID) (fleet.Node, bool) {
+	var n fleet.Node
+	found := false
+	h.view(func(time.Time) {
+		for _, s := range h.duty.presence.Nodes() {
+			if s.Node.ID == id {
+				n, found = s.Node, true
+			}
+		}
+	})
+	return n, found
+}
+
+func unknownNode(id fleet.NodeID) error {
+	return &admin.Failure{Status: http.StatusNotFound, Code: "unknown_node", Message: fmt.Sprintf("no live process has the id %q", id)}
+}
+
+// drainNode makes a process leave. Repeating it changes nothing.
+func (h *Host) drainNode(r admin.DrainRequest) (any, error) {
+	n, ok := h.findNode(r.Node)
+	if !ok {
+		return nil, unknownNode(r.Node)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	method := "Agent.Drain"
+	if n.Role == fleet.RoleEntry {
+		method = "Entry.Drain"
+	}
+	if err := h.deps.Pool.Call(ctx, n.Addr, method, &wire.Empty{}, &wire.Empty{}); err != nil {
+		return nil, err
+	}
+	return struct{}{}, nil
+}
+
+// replace advances the replacement of a lost control host by one step; the
+// operator's command repeats it until it is complete.
+func (h *Host) replace(r admin.ReplaceRequest) (any, error) {
+	var reply admin.ReplaceReply
+	ok := h.view(func(now time.Time) {
+		reply = h.replaceStep(now, r.Lost)
+		reply.Members = h.machine.Status().Members.Members
+	})
+	if !ok {
+		return nil, &lostError{}
+	}
+	return reply, nil
+}
+
+// replaceStep removes the lost voter only once a learner has caught up, and
+// calls the repair complete once the new voter has all that is committed.
+func (h *Host) replaceStep(now time.Time, lost raft.MemberID) admin.ReplaceReply {
+	status := h.machine.Status()
+	if lost == status.Self {
+		return admin.ReplaceReply{Message: "the leader itself can't be taken for lost"}
+	}
+	if _, member := status.Members.Find(lost); member {
+		if !h.learnerReady(status) {
+			return admin.ReplaceReply{Message: "waits for a new host to join and to catch up"}
+		}
+		if _, err := h.machine.Remove(now, lost); err != nil {
+			return admin.ReplaceReply{Message: err.Error()}
+		}
+		return admin.ReplaceReply{Message: "the lost host was taken out"}
+	}
+	for _, m := range status.Members.Members {
+		if !m.Voter {
+			return admin.ReplaceReply{Message: "waits for the new host to become a voter"}
+		}
+		if m.ID != status.Self && !h.machine.CanStandIn(m.ID) {
+			return admin.ReplaceReply{Message: fmt.Sprintf("waits for %x to have the whole log", uint64(m.ID))}
+		}
+	}
+	if status.Members.Voters() < h.deps.Size {
+		return admin.ReplaceReply{Message: "waits for a new host to join"}
+	}
+	return admin.ReplaceReply{Complete: true, Message: "the group could lose any other host now"}
+}
+
+func (h *Host) learnerReady(s raft.Status) bool {
+	for _, m := range s.Members.Members {
+		if !m.Voter && s.Match[m.ID] >= s.Commit {
+			return true
+		}
+	}
+	return false
+}
+
+// order gets a number for an order and gives it to the agent.
+func (h *Host) order(r admin.OrderRequest) (any, error) {
+	n, ok := h.findNode(r.Agent)
+	if !ok {
+		return nil, unknownNode(r.Agent)
+	}
+	res, hint := h.commit(state.Command{Order: &state.Order{Agent: r.Agent, ID: r.ID}})
+	if hint.NotLeader {
+		return nil, &lostError{}
+	}
+	if res.Err != nil {
+		return nil, res.Err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
+	defer cancel()
+	args := wire.OrderArgs{Agent: r.Agent, Number: res.Order, Action: r.Action, Name: r.Name}
+	var result wire.OrderResult
+	if err := h.deps.Pool.Call(ctx, n.Addr, "Agent.Order", &args, &result); err != nil {
+		return nil, err
+	}
+	return admin.OrderReply{Number: res.Order, Done: result.Done, Message: result.Message}, nil
+}
--- /dev/null
+++ b/io/ctrl/service.go
@@ -0,0 +1,194 @@
+package ctrl
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/raft"
+	"dotterelgap/core/state"
+	"dotterelgap/io/wire"
+)
+
+// Service is the net/rpc service "Control" of a host.
+type Service struct {
+	h *Host
+}
+
+// NewService returns the service of a host.
+func NewService(h *Host) *Service { return &Service{h: h} }
+
+// Raft takes in a message of the replicated log. Where the queue is full the
+// message is dropped, as a network might.
+func (s *Service) Raft(args *RaftArgs, _ *wire.Empty) error {
+	select {
+	case s.h.queue <- func(now time.Time) { s.h.step(now, *args) }:
+	default:
+	}
+	return nil
+}
+
+// RaftArgs carries a message with its sender's address: a host that has just
+// joined does not know the group's addresses yet.
+type RaftArgs struct {
+	Addr    netip.AddrPort
+	Message raft.Message
+}
+
+func (h *Host) step(now time.Time, args RaftArgs) {
+	h.book[args.Message.From] = args.Addr
+	h.machine.Step(now, args.Message)
+}
+
+// Beat takes in a process's announcement and returns what it lacks.
+func (s *Service) Beat(args *wire.BeatArgs, reply *wire.BeatReply) error {
+	h := s.h
+	if args.Node.Role == fleet.RoleAgent && !args.Left {
+		if reply.Hint = h.ensureJoined(args.Node); reply.NotLeader {
+			return nil
+		}
+	}
+	if args.Config == 0 || len(args.Unknown) > 0 {
+		if reply.Hint = h.confirm(); reply.NotLeader {
+			return nil
+		}
+	}
+	ok := h.view(func(now time.Time) {
+		if reply.Hint = h.hint(); !reply.NotLeader {
+			h.beat(now, args, reply)
+		}
+	})
+	if !ok {
+		reply.NotLeader = true
+	}
+	return nil
+}
+
+// ensureJoined commits an agent's joining, once.
+func (h *Host) ensureJoined(n fleet.Node) wire.Hint {
+	known := false
+	ok := h.view(func(time.Time) { _, known = h.state.Ledger.Agents[n.ID] })
+	if !ok {
+		return wire.Hint{NotLeader: true}
+	}
+	if known {
+		return wire.Hint{}
+	}
+	_, hint := h.commit(state.Command{Join: &n})
+	return hint
+}
+
+// beat answers an announcement. Loop only.
+func (h *Host) beat(now time.Time, args *wire.BeatArgs, reply *wire.BeatReply) {
+	h.metrics.beats.Add(context.Background(), 1)
+	l := h.state.Ledger
+	id := args.Node.ID
+	if args.Left {
+		h.leave(now, args)
+		return
+	}
+	h.duty.presence.Beat(now, args.Node, args.Config)
+	h.duty.loads[id] = args.Load
+	for _, r := range args.Reports {
+		h.duty.report(r)
+	}
+	if a, ok := l.Agents[id]; ok && !a.Gone {
+		reply.Joined = a.JoinedAt
+		reply.Order = h.state.Orders[a.Node.Addr.String()].Number
+		reply.Fence = h.duty.fences(id, l.Settling())
+	}
+	for _, g := range args.Unknown {
+		if og, ok := l.Grants[g]; ok && !og.Settling {
+			reply.Open = append(reply.Open, g)
+			continue
+		}
+		reply.Shut = append(reply.Shut, g)
+	}
+	reply.Floor = l.Floor()
+	reply.Recalls = h.duty.takeRecalls(id)
+	reply.Control = h.memberAddrs()
+	if args.Node.Role == fleet.RoleEntry && args.Config < h.state.Config.Version {
+		reply.Config = h.state.Config.Since(args.Config)
+	}
+	roster := h.duty.rosterFor(h.machine.HardState().Term, l)
+	if roster.Version != args.Roster {
+		reply.Roster = roster
+	}
+}
+
+// leave takes in that a process ends now, with an agent's last reports. What
+// an entry still holds is settled.
+func (h *Host) leave(now time.Time, args *wire.BeatArgs) {
+	id := args.Node.ID
+	h.duty.presence.Leave(id)
+	if ids := h.state.Ledger.HeldBy(id); len(ids) > 0 {
+		h.propose(now, state.Command{Settle: ids}, nil)
+	}
+	if _, ok := h.state.Ledger.Agents[id]; ok {
+		h.propose(now, state.Command{Leave: &state.Leave{Agent: id, Reports: args.Reports}}, nil)
+	}
+}
+
+// Budget takes in a holder's refills and statements.
+func (s *Service) Budget(args *wire.BudgetArgs, reply *wire.BudgetReply) error {
+	res, hint := s.h.commit(state.Command{Refills: args.Refills, Spends: args.Spends, Closes: args.Closes})
+	reply.Hint = hint
+	reply.Answers = res.Answers
+	if hint.NotLeader {
+		return nil
+	}
+	var recalls []escrow.GrantID
+	for _, a := range res.Answers {
+		recalls = append(recalls, a.Recalls...)
+	}
+	if len(recalls) > 0 {
+		s.h.view(func(time.Time) { s.h.duty.recall(s.h.state.Ledger, recalls) })
+	}
+	return nil
+}
+
+// Claim binds work that must not repeat to an agent.
+func (s *Service) Claim(args *state.Claim, reply *wire.ClaimReply) error {
+	res, hint := s.h.commit(state.Command{Claim: args})
+	reply.Hint = hint
+	if res.Claim != nil {
+		reply.Answer = *res.Claim
+	}
+	return nil
+}
+
+// Finish records what claimed work came to.
+func (s *Service) Finish(args *state.FinishClaim, reply *wire.ClaimReply) error {
+	_, reply.Hint = s.h.commit(state.Command{Finish: args})
+	return nil
+}
+
+// Join adds a control host as a learner.
+func (s *Service) Join(args *wire.JoinArgs, reply *wire.JoinReply) error {
+	ok := s.h.view(func(now time.Time) {
+		reply.Hint = s.h.hint()
+		if reply.NotLeader {
+			return
+		}
+		if m, ok := s.h.machine.Status().Members.Find(args.Member.ID); ok {
+			reply.Voter = m.Voter
+			return
+		}
+		if _, err := s.h.machine.AddLearner(now, args.Member); err != nil {
+			reply.NotLeader = true
+		}
+	})
+	if !ok {
+		reply.NotLeader = true
+	}
+	return nil
+}
+
+// Exists tells whether this host is a member of a group with a configuration
+// or peers, so that nobody bootstraps a second one beside it.
+func (s *Service) Exists(_ *wire.Empty, reply *bool) error {
+	s.h.view(func(time.Time) { *reply = len(s.h.machine.Status().Members.Members) > 0 })
+	return nil
+}
--- /dev/null
+++ b/io/disk/record.go
@@ -0,0 +1,95 @@
+package disk
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+
+	"dotterelgap/core/raft"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// headerSize is the size of a record's length and checksum, in bytes.
+const headerSize = 8
+
+// maxRecord bounds a record's length, in bytes.
+const maxRecord = 1 << 30
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// record is one synced batch.
+type record struct {
+	State   *raft.State  `cbor:"1,keyasint,omitempty"`
+	Entries []raft.Entry `cbor:"2,keyasint,omitempty"`
+}
+
+func frame(payload []byte) []byte {
+	out := make([]byte, headerSize, headerSize+len(payload))
+	binary.LittleEndian.PutUint32(out, uint32(len(payload)))
+	out = append(out, payload...)
+	binary.LittleEndian.PutUint32(out[4:], checksum(out))
+	return out
+}
+
+// checksum covers the length and the payload of a framed record.
+func checksum(framed []byte) uint32 {
+	sum := crc32.Checksum(framed[:4], castagnoli)
+	return crc32.Update(sum, castagnoli, framed[headerSize:])
+}
+
+// unframe returns the payload at the start of data and the record's size. ok is
+// false where there is no whole record.
+func unframe(data []byte) (payload []byte, size int, ok bool) {
+	if len(data) < headerSize {
+		return nil, 0, false
+	}
+	n := int(binary.LittleEndian.Uint32(data))
+	if n == 0 || n > maxRecord || n > len(data)-headerSize {
+		return nil, 0, false
+	}
+	size = headerSize + n
+	if checksum(data[:size]) != binary.LittleEndian.Uint32(data[4:]) {
+		return nil, 0, false
+	}
+	return data[headerSize:size], size, true
+}
+
+// scan reads records until the end or the first one that is not whole, and
+// returns where it stopped.
+func scan(data []byte, each func(record) error) (int, error) {
+	at := 0
+	for at < len(data) {
+		payload, size, ok := unframe(data[at:])
+		if !ok {
+			return at, nil
+		}
+		var r record
+		if err := cbor.Unmarshal(payload, &r); err != nil {
+			return at, err
+		}
+		if err := each(r); err != nil {
+			return at, err
+		}
+		at += size
+	}
+	return at, nil
+}
+
+// wholeAfter tells whether a whole record starts anywhere after a position.
+func wholeAfter(data []byte, at int) bool {
+	for i := at + 1; i+headerSize < len(data); i++ {
+		if _, _, ok := unframe(data[i:]); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func writeAll(f File, data []byte) error {
+	n, err := f.Write(data)
+	if err == nil && n < len(data) {
+		return io.ErrShortWrite
+	}
+	return err
+}
--- /dev/null
+++ b/io/disk/store.go
@@ -0,0 +1,234 @@
+package disk
+
+import (
+	"errors"
+	"io/fs"
+	"path/filepath"
+
+	"dotterelgap/core/raft"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+)
+
+// The files of a data folder.
+const (
+	identityFile = "identity"
+	snapshotFile = "snapshot"
+	logFile      = "log"
+	tempSuffix   = ".new"
+)
+
+// Store is a control host's data folder.
+type Store struct {
+	fs  FS
+	dir string
+	log File
+	// failed is set by the first error; after it nothing may be answered for.
+	failed error
+	size   int64
+}
+
+// Identity names a data folder for good.
+type Identity struct {
+	Member raft.MemberID `cbor:"member"`
+}
+
+// Open reads a data folder and cuts off a torn tail. An empty folder gives an
+// error that is fs.ErrNotExist.
+func Open(fsys FS, dir string) (*Store, Identity, raft.Saved, error) {
+	s := &Store{fs: fsys, dir: dir}
+	var id Identity
+	var saved raft.Saved
+	if err := s.readFramed(identityFile, &id); err != nil {
+		return nil, id, saved, err
+	}
+	if err := s.readFramed(snapshotFile, &saved.Snapshot); err != nil {
+		return nil, id, saved, lost(s.path(snapshotFile), err)
+	}
+	if err := s.openLog(&saved); err != nil {
+		return nil, id, saved, err
+	}
+	return s, id, saved, nil
+}
+
+// lost turns a missing file of a folder with an identity into damage, so that
+// it is not taken for an empty folder.
+func lost(path string, err error) error {
+	if errors.Is(err, fs.ErrNotExist) {
+		return &DamageError{File: path, Message: "the file is missing"}
+	}
+	return err
+}
+
+// Create makes a data folder with an identity and a first snapshot. The
+// identity is written last: a folder without one counts as empty.
+func Create(fsys FS, dir string, id Identity, first raft.Snapshot) error {
+	s := &Store{fs: fsys, dir: dir}
+	if err := fsys.MkdirAll(dir); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := s.replace(snapshotFile, first); err != nil {
+		return err
+	}
+	if err := s.replaceRaw(logFile, nil); err != nil {
+		return err
+	}
+	return s.replace(identityFile, id)
+}
+
+func (s *Store) path(name string) string {
+	return filepath.Join(s.dir, name)
+}
+
+func (s *Store) readFramed(name string, dst any) error {
+	data, err := s.fs.ReadFile(s.path(name))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	payload, _, ok := unframe(data)
+	if !ok {
+		return &DamageError{File: s.path(name), Message: "its checksum is wrong"}
+	}
+	if err := cbor.Unmarshal(payload, dst); err != nil {
+		return &DamageError{File: s.path(name), Message: err.Error()}
+	}
+	return nil
+}
+
+func (s *Store) openLog(saved *raft.Saved) error {
+	name := s.path(logFile)
+	data, err := s.fs.ReadFile(name)
+	if err != nil {
+		return lost(name, err)
+	}
+	end, err := scan(data, func(r record) error { return merge(saved, r) })
+	if err != nil {
+		return &DamageError{File: name, Offset: int64(end), Message: err.Error()}
+	}
+	if end < len(data) && wholeAfter(data, end) {
+		return &DamageError{File: name, Offset: int64(end), Message: "a record is damaged and whole ones follow it"}
+	}
+	f, err := s.fs.OpenAppend(name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.log = f
+	s.size = int64(end)
+	if end == len(data) {
+		return nil
+	}
+	if err := f.Truncate(int64(end)); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(f.Sync())
+}
+
+// merge adds a record to what was read before it.
+func merge(saved *raft.Saved, r record) error {
+	if r.State != nil {
+		saved.State = *r.State
+	}
+	for _, e := range r.Entries {
+		if e.Index <= saved.Snapshot.Index {
+			continue
+		}
+		at := e.Index - saved.Snapshot.Index - 1
+		if at > uint64(len(saved.Entries)) {
+			return &GapError{Index: e.Index}
+		}
+		saved.Entries = append(saved.Entries[:at], e)
+	}
+	return nil
+}
+
+// Append writes a batch and returns once it is synced. After an error the
+// store refuses everything: what a failed sync left behind is not known.
+func (s *Store) Append(state *raft.State, entries []raft.Entry) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	payload, err := cbor.Marshal(record{State: state, Entries: entries})
+	if err != nil {
+		return s.fail(err)
+	}
+	framed := frame(payload)
+	if err := writeAll(s.log, framed); err != nil {
+		return s.fail(err)
+	}
+	s.size += int64(len(framed))
+	return s.fail(s.log.Sync())
+}
+
+// Compact replaces snapshot and log. The snapshot comes first: with it in
+// place, the old log's entries below it are passed over.
+func (s *Store) Compact(snap raft.Snapshot, state raft.State, tail []raft.Entry) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if err := s.replace(snapshotFile, snap); err != nil {
+		return s.fail(err)
+	}
+	payload, err := cbor.Marshal(record{State: &state, Entries: tail})
+	if err != nil {
+		return s.fail(err)
+	}
+	framed := frame(payload)
+	if err := s.replaceRaw(logFile, framed); err != nil {
+		return s.fail(err)
+	}
+	_ = s.log.Close()
+	s.log, err = s.fs.OpenAppend(s.path(logFile))
+	s.size = int64(len(framed))
+	return s.fail(err)
+}
+
+// LogSize is the size of the log file, in bytes.
+func (s *Store) LogSize() int64 {
+	return s.size
+}
+
+// Close closes the log file.
+func (s *Store) Close() error {
+	return trace.Wrap(s.log.Close())
+}
+
+func (s *Store) fail(err error) error {
+	if err != nil {
+		s.failed = trace.Wrap(err)
+	}
+	return s.failed
+}
+
+func (s *Store) replace(name string, v any) error {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return s.replaceRaw(name, frame(payload))
+}
+
+// replaceRaw writes a new file, syncs it, gives it its name and syncs the
+// folder, so that a crash leaves the old file or the new one.
+func (s *Store) replaceRaw(name string, data []byte) error {
+	temp := s.path(name + tempSuffix)
+	f, err := s.fs.Create(temp)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := writeAll(f, data); err != nil {
+		_ = f.Close()
+		return trace.Wrap(err)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return trace.Wrap(err)
+	}
+	if err := f.Close(); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := s.fs.Rename(temp, s.path(name)); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(s.fs.SyncDir(s.dir))
+}
--- /dev/null
+++ b/io/entry/beat.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dotterelgap/core/config"
+	"dotterelgap/core/fleet"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/wire"
+
+	"go.uber.org/zap"
+)
+
+// Times of the announcements to the control group.
+const (
+	beatInterval = 500 * time.Millisecond
+	beatTimeout  = 3 * time.Second
+	leaveTimeout = 2 * time.Second
+)
+
+func (e *Entry) beatLoop(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		e.beat(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-e.kick:
+		}
+	}
+}
+
+func (e *Entry) beat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	e.mu.RLock()
+	args := wire.BeatArgs{Node: e.deps.Node, Config: e.store.Version, Roster: e.roster.Version}
+	e.mu.RUnlock()
+	args.Node.Draining = e.leaving.Load()
+	reply, err := ctrl.Call[wire.BeatReply](ctx, e.client, "Control.Beat", &args)
+	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			e.log.Warn("entry: no answer from the control group", zap.Error(err))
+		}
+		return
+	}
+	e.client.SetAddrs(reply.Control)
+	e.follow(reply.Config)
+	if reply.Roster != nil {
+		e.setRoster(*reply.Roster)
+	}
+	for _, id := range reply.Recalls {
+		e.budget.recall(id)
+	}
+}
+
+// follow puts a newer configuration in force.
+func (e *Entry) follow(d config.Delta) {
+	if d.Version == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	moved, err := e.store.Follow(d)
+	if err != nil {
+		e.log.Error("entry: configuration refused, fetching all of it", zap.Error(err))
+		e.store = config.NewStore()
+		return
+	}
+	if !moved {
+		return
+	}
+	doc, err := config.Join(e.store.Values())
+	if err != nil {
+		e.log.Error("entry: configuration can't be read", zap.Error(err))
+		return
+	}
+	e.view = newView(doc)
+	e.log.Info("entry: configuration in force", zap.Uint64("version", d.Version))
+}
+
+func (e *Entry) setRoster(r wire.Roster) {
+	e.mu.Lock()
+	e.roster = r
+	e.mu.Unlock()
+	e.budget.setEntries(r.Nodes)
+	e.routeMu.Lock()
+	defer e.routeMu.Unlock()
+	e.router.SetNodes(time.Now(), r.Nodes)
+}
+
+// ready tells whether callers can be served: a configuration is in force that a
+// quorum has confirmed since this process started.
+func (e *Entry) ready() bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.store.Version > 0 && !e.leaving.Load()
+}
+
+// nodeByID finds a process in the roster.
+func (e *Entry) nodeByID(id fleet.NodeID) (fleet.Node, bool) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for _, n := range e.roster.Nodes {
+		if n.ID == id {
+			return n, true
+		}
+	}
+	return fleet.Node{}, false
+}
+
+// leave tells the control group that this entry holds nothing more.
+func (e *Entry) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	args := wire.BeatArgs{Node: e.deps.Node, Left: true, Config: 1}
+	if _, err := ctrl.Call[wire.BeatReply](ctx, e.client, "Control.Beat", &args); err != nil {
+		e.log.Warn("entry: could not say good-bye; the grants are settled after a while", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/io/entry/budget.go
@@ -0,0 +1,256 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/wire"
+)
+
+// Times of the budget holder.
+const (
+	holderTick    = 50 * time.Millisecond
+	claimTimeout  = 500 * time.Millisecond
+	budgetTimeout = 2 * time.Second
+	peerTimeout   = 3 * time.Second
+	inputQueue    = 1024
+)
+
+// input is one step of the holder's machine, run on its goroutine.
+type input func(now time.Time, h *escrow.Holder, fx *escrow.Effects)
+
+// budget drives this entry's escrow.Holder and knows which entry of the place
+// is at home for a customer.
+type budget struct {
+	e      *Entry
+	inputs chan input
+	wg     sync.WaitGroup
+	toCtrl chan wire.BudgetArgs
+
+	// waiting belongs to the loop.
+	waiting map[string]chan escrow.Verdict
+
+	mu      sync.RWMutex
+	entries []fleet.NodeID
+	nodes   map[fleet.NodeID]fleet.Node
+}
+
+func newBudget(e *Entry, opts escrow.Options) *budget {
+	b := &budget{
+		e: e, inputs: make(chan input, inputQueue), toCtrl: make(chan wire.BudgetArgs, inputQueue),
+		waiting: map[string]chan escrow.Verdict{}, nodes: map[fleet.NodeID]fleet.Node{},
+	}
+	b.e.wg.Go(func() { b.controlLoop() })
+	return b
+}
+
+// run owns the holder.
+func (b *budget) run(ctx context.Context) {
+	h := escrow.NewHolder(b.e.deps.Node.ID, b.e.deps.Node.Place, b.e.deps.Budget)
+	ticker := time.NewTicker(holderTick)
+	defer ticker.Stop()
+	defer close(b.toCtrl)
+	defer b.wg.Wait()
+	var fx escrow.Effects
+	for {
+		fx.Reset()
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-b.inputs:
+			in(time.Now(), h, &fx)
+		case <-ticker.C:
+			h.Tick(time.Now(), &fx)
+		}
+		b.carryOut(fx)
+	}
+}
+
+func (b *budget) carryOut(fx escrow.Effects) {
+	for _, v := range fx.Verdicts {
+		if ch, ok := b.waiting[v.ID]; ok {
+			delete(b.waiting, v.ID)
+			ch <- v
+		}
+	}
+	for _, c := range fx.Claims {
+		b.wg.Go(func() { b.claim(c) })
+	}
+	for _, c := range fx.Searches {
+		b.wg.Go(func() { b.search(c) })
+	}
+	if len(fx.Refills)+len(fx.Spends)+len(fx.Closes) == 0 {
+		return
+	}
+	args := wire.BudgetArgs{}
+	args.Refills = append(args.Refills, fx.Refills...)
+	args.Spends = append(args.Spends, fx.Spends...)
+	args.Closes = append(args.Closes, fx.Closes...)
+	b.toCtrl <- args
+}
+
+// post hands an input to the loop.
+func (b *budget) post(in input) {
+	b.inputs <- in
+}
+
+// controlLoop talks to the ledger, one call at a time; what comes up meanwhile
+// shares the next call.
+func (b *budget) controlLoop() {
+	var closes []escrow.Close
+	for args := range b.toCtrl {
+		args = b.gather(args)
+		args.Closes = append(closes, args.Closes...)
+		closes = nil
+		ctx, cancel := context.WithTimeout(context.Background(), budgetTimeout)
+		reply, err := ctrl.Call[wire.BudgetReply](ctx, b.e.client, "Control.Budget", &args)
+		cancel()
+		b.e.metrics.controlCall()
+		if err != nil {
+			closes = args.Closes
+			b.refillsFailed(args.Refills)
+			continue
+		}
+		b.take(reply)
+	}
+}
+
+func (b *budget) gather(args wire.BudgetArgs) wire.BudgetArgs {
+	for {
+		select {
+		case more, ok := <-b.toCtrl:
+			if !ok {
+				return args
+			}
+			args.Refills = append(args.Refills, more.Refills...)
+			args.Spends = append(args.Spends, more.Spends...)
+			args.Closes = append(args.Closes, more.Closes...)
+		default:
+			return args
+		}
+	}
+}
+
+func (b *budget) refillsFailed(refills []escrow.Refill) {
+	b.tryPost(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) {
+		for _, r := range refills {
+			h.RefillFailed(now, r.Customer, fx)
+		}
+	})
+}
+
+func (b *budget) take(reply wire.BudgetReply) {
+	b.tryPost(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) {
+		for _, a := range reply.Answers {
+			if a.Grant != nil {
+				h.AddGrant(now, a.Seq, *a.Grant, fx)
+			}
+			if a.Denial != nil {
+				h.Deny(now, *a.Denial, fx)
+			}
+		}
+	})
+}
+
+// tryPost hands an input over without blocking for ever on a loop that waits
+// for the control loop itself.
+func (b *budget) tryPost(in input) {
+	select {
+	case b.inputs <- in:
+	case <-time.After(budgetTimeout):
+	}
+}
+
+// claim asks one witness and feeds its answer back.
+func (b *budget) claim(c escrow.Claim) {
+	n, ok := b.e.nodeByID(c.Witness)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	var reply escrow.ClaimReply
+	if err := b.e.deps.Pool.Call(ctx, n.Addr, "Agent.Claim", &c, &reply); err != nil {
+		return
+	}
+	b.tryPost(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.OnClaim(now, reply, fx) })
+}
+
+func (b *budget) recall(id escrow.GrantID) {
+	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.Recall(now, id, fx) })
+}
+
+func (b *budget) fenced(id escrow.GrantID) {
+	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.Fenced(now, id, fx) })
+}
+
+// abandon gives up on a reservation whose use nobody can tell; the ledger
+// settles its grants from the agents' reports.
+func (b *budget) abandon(res reservation) {
+	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.Abandon(now, res.id, fx) })
+}
+
+// drain gives the grants back, and waits for that up to a limit.
+func (b *budget) drain(limit time.Duration) {
+	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.Drain(now, fx) })
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		done := make(chan bool, 1)
+		b.post(func(_ time.Time, h *escrow.Holder, _ *escrow.Effects) { done <- h.Drained() })
+		if <-done {
+			return
+		}
+		time.Sleep(holderTick)
+	}
+}
+
+// reserveHere asks this entry's own holder and waits for the verdict.
+func (b *budget) reserveHere(ctx context.Context, r escrow.Request) escrow.Verdict {
+	ch := make(chan escrow.Verdict, 1)
+	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) {
+		b.waiting[r.ID] = ch
+		h.Reserve(now, r, fx)
+	})
+	select {
+	case v := <-ch:
+		return v
+	case <-ctx.Done():
+		b.releaseHere(r.ID, 0)
+		return escrow.Verdict{ID: r.ID, Reason: escrow.ReasonUnreachable}
+	}
+}
+
+func (b *budget) releaseHere(id string, used escrow.Tokens) {
+	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) {
+		delete(b.waiting, id)
+		h.Release(now, id, used, fx)
+	})
+}
+
+// setEntries takes in which entries live in this place.
+func (b *budget) setEntries(nodes []fleet.Node) {
+	var ids []fleet.NodeID
+	byID := map[fleet.NodeID]fleet.Node{}
+	for _, n := range nodes {
+		if n.Role != fleet.RoleEntry {
+			continue
+		}
+		byID[n.ID] = n
+		if n.Place == b.e.deps.Node.Place && !n.Draining {
+			ids = append(ids, n.ID)
+		}
+	}
+	b.mu.Lock()
+	before := b.nodes
+	b.entries, b.nodes = ids, byID
+	b.mu.Unlock()
+	for id := range before {
+		if _, ok := byID[id]; !ok {
+			b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.BorrowerLost(now, id, fx) })
+		}
+	}
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dotterelgap/core/config"
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/route"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/wire"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+)
+
+// Deps is what an Entry needs.
+type Deps struct {
+	Log      *zap.Logger
+	Server   *wire.Server
+	Listener net.Listener
+	Pool     *wire.Pool
+	TLS      *tls.Config
+	Node     fleet.Node
+	Control  []netip.AddrPort
+	Rand     *rand.Rand
+	Limits   Limits
+	Budget   escrow.Options
+	Metrics  http.Handler
+	// Stop asks the process to end in an orderly way.
+	Stop func()
+}
+
+// Entry is one process that callers talk to.
+type Entry struct {
+	deps    Deps
+	log     *zap.Logger
+	client  *ctrl.Client
+	streams *http.Client
+	budget  *budget
+	http    *http.Server
+	metrics *metrics
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	kick    chan struct{}
+	slots   chan struct{}
+
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+
+	mu     sync.RWMutex
+	store  *config.Store
+	view   *view
+	roster wire.Roster
+
+	routeMu sync.Mutex
+	router  *route.Router
+}
+
+// Start serves callers once the configuration is known.
+func Start(deps Deps) (*Entry, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{
+		deps:    deps,
+		log:     deps.Log,
+		client:  ctrl.NewClient(deps.Pool, deps.Control),
+		streams: newStreamClient(deps.TLS),
+		metrics: newMetrics(),
+		cancel:  cancel,
+		kick:    make(chan struct{}, 1),
+		slots:   make(chan struct{}, deps.Limits.Concurrency),
+		store:   config.NewStore(),
+		view:    newView(config.Document{}),
+		router:  route.New(route.DefaultOptions(), deps.Node.ID, deps.Node.Place, deps.Rand),
+	}
+	e.budget = newBudget(e, deps.Budget)
+	if err := deps.Server.Register("Entry", &Service{e: e}); err != nil {
+		cancel()
+		return nil, err
+	}
+	deps.Server.Serve()
+	e.http = &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: deps.Limits.HeaderTimeout,
+		IdleTimeout:       deps.Limits.IdleTimeout,
+		MaxHeaderBytes:    deps.Limits.HeaderBytes,
+		ErrorLog:          zap.NewStdLog(deps.Log),
+	}
+	e.wg.Go(func() { e.beatLoop(ctx) })
+	e.wg.Go(func() { e.budget.run(ctx) })
+	e.wg.Go(func() { _ = e.http.Serve(deps.Listener) })
+	return e, nil
+}
+
+// newStreamClient returns the client for streams from agents. Work is never
+// sent twice by the transport: its requests can't be replayed.
+func newStreamClient(cfg *tls.Config) *http.Client {
+	t := &http.Transport{
+		MaxIdleConnsPerHost: 512,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+		TLSClientConfig:     cfg,
+	}
+	return &http.Client{Transport: t}
+}
+
+// Close lets the balancer notice, finishes the requests in progress until ctx
+// ends, gives the escrow back and stops. It returns how many requests it had to
+// cut off.
+func (e *Entry) Close(ctx context.Context) (int, error) {
+	e.leaving.Store(true)
+	e.log.Info("entry: leaving", zap.Duration("notice", e.deps.Limits.LeaveNotice))
+	wait(ctx, e.deps.Limits.LeaveNotice)
+	err := e.http.Shutdown(ctx)
+	left := int(e.inFlight.Load())
+	if left > 0 {
+		_ = e.http.Close()
+	}
+	e.budget.drain(e.deps.Limits.DrainTimeout)
+	e.cancel()
+	e.wg.Wait()
+	e.leave()
+	e.streams.CloseIdleConnections()
+	_ = e.deps.Server.Close(ctx)
+	if left > 0 {
+		return left, nil
+	}
+	return 0, trace.Wrap(err)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/entry/http.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"dotterelgap/core/config"
+	"dotterelgap/io/telem"
+
+	"github.com/google/uuid"
+)
+
+// Bounds of a caller's idempotency key.
+const (
+	maxKeyLength = 128
+	bearerPrefix = "Bearer "
+)
+
+// routes is the callers' interface.
+func (e *Entry) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.guard(e.serveChat))
+	mux.HandleFunc("/v1/services/{service}/{path...}", e.guard(e.servePlain))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	if e.deps.Metrics != nil {
+		mux.Handle("GET /metrics", e.deps.Metrics)
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		notRun(http.StatusNotFound, "no_such_path", "see /v1/chat/completions and /v1/services/", 0).write(w)
+	})
+	return mux
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// caller is who asks and with which key.
+type caller struct {
+	customer string
+	key      string
+	// keyed is set if the caller chose the key.
+	keyed bool
+	body  []byte
+	view  *view
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, c caller) *Problem
+
+// guard checks the caller's key and reads the body, within the limits.
+func (e *Entry) guard(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.inFlight.Add(1)
+		defer e.inFlight.Add(-1)
+		ctx, span := telem.Span(telem.Extract(r.Context(), r.Header.Get("Traceparent")), "entry.request")
+		defer span.End()
+		c, p := e.admit(w, r)
+		if p == nil {
+			defer func() { <-e.slots }()
+			p = h(w, r.WithContext(ctx), c)
+		}
+		e.metrics.request(p)
+		if p != nil {
+			p.RequestKey = c.key
+			p.write(w)
+		}
+	}
+}
+
+// admit takes a slot on success.
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request) (caller, *Problem) {
+	c, p := e.identify(r)
+	if p != nil {
+		return c, p
+	}
+	select {
+	case e.slots <- struct{}{}:
+	default:
+		return c, notRun(http.StatusServiceUnavailable, "overloaded", "this entry is at its limit of requests", time.Second)
+	}
+	c.body, p = e.readBody(w, r)
+	if p != nil {
+		<-e.slots
+	}
+	return c, p
+}
+
+func (e *Entry) identify(r *http.Request) (caller, *Problem) {
+	e.mu.RLock()
+	c := caller{view: e.view}
+	version := e.store.Version
+	e.mu.RUnlock()
+	if version == 0 {
+		return c, notRun(http.StatusServiceUnavailable, "not_ready", "no configuration is in force here yet", time.Second)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	if !ok {
+		return c, notRun(http.StatusUnauthorized, "unauthorized", "an Authorization header with a bearer key is needed", 0)
+	}
+	c.customer, ok = c.view.customers[config.DigestOf(key)]
+	if !ok {
+		return c, notRun(http.StatusUnauthorized, "unauthorized", "the bearer key is not known", 0)
+	}
+	c.key = r.Header.Get(headerIdempotent)
+	c.keyed = c.key != ""
+	if !c.keyed {
+		c.key = uuid.NewString()
+	}
+	if len(c.key) > maxKeyLength || strings.ContainsFunc(c.key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return c, notRun(http.StatusBadRequest, "bad_key", "an idempotency key is 1 to 128 printable ASCII characters without spaces", 0)
+	}
+	return c, nil
+}
+
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(e.deps.Limits.BodyTimeout))
+	var buf bytes.Buffer
+	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, e.deps.Limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, notRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit", 0)
+	}
+	if err != nil {
+		return nil, notRun(http.StatusBadRequest, "bad_body", "the body did not arrive whole and in time", 0)
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return buf.Bytes(), nil
+}
--- /dev/null
+++ b/io/entry/lend.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/io/wire"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Service is the net/rpc service "Entry", for the other entries.
+type Service struct {
+	e *Entry
+}
+
+// Reserve lends tokens of this entry's grants to another entry.
+func (s *Service) Reserve(args *wire.ReserveArgs, reply *wire.ReserveReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	v := s.e.budget.reserveHere(ctx, escrow.Request{
+		ID: args.ID, Customer: args.Customer, Worst: args.Worst, Borrower: args.Borrower,
+	})
+	reply.Parts, reply.Reason = v.Parts, v.Reason
+	return nil
+}
+
+// Release ends a loan.
+func (s *Service) Release(args *wire.ReleaseArgs, _ *wire.Empty) error {
+	s.e.budget.releaseHere(args.ID, args.Used)
+	return nil
+}
+
+// Ping answers; it tells that the entry is alive.
+func (s *Service) Ping(_ *wire.Empty, _ *wire.Empty) error { return nil }
+
+// reservation is tokens that were reserved for one attempt, here or at a peer.
+type reservation struct {
+	id     string
+	parts  []escrow.Part
+	holder fleet.NodeID
+}
+
+// home is the entry of the place that holds a customer's grants.
+func (b *budget) home(customer string) fleet.NodeID {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if ranked := fleet.Rendezvous(customer, b.entries); len(ranked) > 0 {
+		return ranked[0]
+	}
+	return b.e.deps.Node.ID
+}
+
+// others lists one holder in every other place.
+func (b *budget) others(customer string) []fleet.NodeID {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	byPlace := map[fleet.Place][]fleet.NodeID{}
+	for id, n := range b.nodes {
+		if n.Place != b.e.deps.Node.Place && !n.Draining {
+			byPlace[n.Place] = append(byPlace[n.Place], id)
+		}
+	}
+	var out []fleet.NodeID
+	for _, ids := range byPlace {
+		out = append(out, fleet.Rendezvous(customer, ids)[0])
+	}
+	return out
+}
+
+// reserve reserves the worst case of an attempt: at the customer's home entry
+// of this place, else here, else at the homes in other places.
+func (b *budget) reserve(ctx context.Context, r escrow.Request) (reservation, escrow.Reason) {
+	r.Borrower = b.e.deps.Node.ID
+	home := b.home(r.Customer)
+	res, reason := b.reserveAt(ctx, home, r)
+	if reason == "" {
+		return res, ""
+	}
+	if home != b.e.deps.Node.ID && reason == escrow.ReasonUnreachable {
+		if res, again := b.reserveAt(ctx, b.e.deps.Node.ID, r); again == "" {
+			return res, ""
+		}
+	}
+	for _, peer := range b.others(r.Customer) {
+		if res, again := b.reserveAt(ctx, peer, r); again == "" {
+			return res, ""
+		}
+	}
+	return reservation{}, reason
+}
+
+func (b *budget) reserveAt(ctx context.Context, holder fleet.NodeID, r escrow.Request) (reservation, escrow.Reason) {
+	res := reservation{id: r.ID, holder: holder}
+	if holder == b.e.deps.Node.ID {
+		v := b.reserveHere(ctx, r)
+		res.parts = v.Parts
+		return res, v.Reason
+	}
+	n, ok := b.e.nodeByID(holder)
+	if !ok {
+		return res, escrow.ReasonUnreachable
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	args := wire.ReserveArgs{Borrower: b.e.deps.Node.ID, ID: r.ID, Customer: r.Customer, Worst: r.Worst}
+	var reply wire.ReserveReply
+	err := b.e.deps.Pool.Call(ctx, n.Addr, "Entry.Reserve", &args, &reply)
+	var unknown *wire.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		b.e.wg.Go(func() { b.release(res, 0) })
+	}
+	if err != nil {
+		return res, escrow.ReasonUnreachable
+	}
+	res.parts = reply.Parts
+	return res, reply.Reason
+}
+
+// release ends a reservation where it was made. A peer that can't be reached
+// finds out by itself: see escrow.Holder.BorrowerLost.
+func (b *budget) release(res reservation, used escrow.Tokens) {
+	if res.holder == b.e.deps.Node.ID {
+		b.releaseHere(res.id, used)
+		return
+	}
+	for try := range releaseTries {
+		n, ok := b.e.nodeByID(res.holder)
+		if !ok {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		err := b.e.deps.Pool.Call(ctx, n.Addr, "Entry.Release", &wire.ReleaseArgs{ID: res.id, Used: used}, &wire.Empty{})
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(time.Duration(try+1) * releasePause)
+	}
+}
+
+// Limits of telling a peer that a loan has ended.
+const (
+	releaseTries = 20
+	releasePause = 250 * time.Millisecond
+)
+
+// search looks for grants that a dead holder left at the agents of this place,
+// and tries to take over those whose holder does not answer.
+func (b *budget) search(customer string) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	found := map[escrow.GrantID]escrow.Grant{}
+	results := make(chan wire.GrantsReply, maxSearched)
+	var g errgroup.Group
+	for _, n := range b.agentsHere() {
+		g.Go(func() error {
+			var reply wire.GrantsReply
+			err := b.e.deps.Pool.Call(ctx, n.Addr, "Agent.Grants", &wire.GrantsArgs{Customer: customer, Place: n.Place}, &reply)
+			if err == nil {
+				results <- reply
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	close(results)
+	for reply := range results {
+		for _, gr := range reply.Grants {
+			found[gr.ID] = gr
+		}
+	}
+	for _, gr := range found {
+		if gr.Holder != b.e.deps.Node.ID && !b.alive(ctx, gr.Holder) {
+			b.tryPost(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.TakeOver(now, gr, fx) })
+		}
+	}
+}
+
+// maxSearched bounds the agents that are asked in one search.
+const maxSearched = 256
+
+func (b *budget) agentsHere() []fleet.Node {
+	b.e.mu.RLock()
+	defer b.e.mu.RUnlock()
+	var out []fleet.Node
+	for _, n := range b.e.roster.Nodes {
+		if n.Role == fleet.RoleAgent && n.Place == b.e.deps.Node.Place && len(out) < maxSearched {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (b *budget) alive(ctx context.Context, id fleet.NodeID) bool {
+	n, ok := b.e.nodeByID(id)
+	if !ok {
+		return false
+	}
+	return b.e.deps.Pool.Call(ctx, n.Addr, "Entry.Ping", &wire.Empty{}, &wire.Empty{}) == nil
+}
+
+// Drain makes the entry leave: it turns unready and its process ends in an
+// orderly way.
+func (s *Service) Drain(_ *wire.Empty, _ *wire.Empty) error {
+	if s.e.deps.Stop != nil {
+		s.e.deps.Stop()
+	}
+	return nil
+}
--- /dev/null
+++ b/io/entry/once.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/state"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/telem"
+	"dotterelgap/io/wire"
+
+	"github.com/google/uuid"
+)
+
+// Limits of work that must not repeat.
+const (
+	claimWait     = 5 * time.Second
+	maxStored     = 64 << 10
+	claimAttempts = 4
+)
+
+// serveOnce runs a request that must not be repeated. The control group binds
+// its key to one agent before anything is sent there.
+func (j *job) serveOnce(ctx context.Context, s *sink) *Problem {
+	ctx, cancel := context.WithTimeout(ctx, j.timeout)
+	defer cancel()
+	owner := uuid.NewString()
+	last := refusalProblem(wire.CodeUpstreamDown)
+	for range claimAttempts {
+		node, ok := j.choose(ctx)
+		if !ok {
+			return last
+		}
+		answer, err := j.claim(ctx, node.ID, owner)
+		if err != nil {
+			// The claim may stand, but nothing was sent on it: a later try
+			// finds it and has the agent confirm that nothing ran.
+			return notRun(http.StatusServiceUnavailable, "control_unreachable", "the control group can't be reached", time.Second)
+		}
+		done, problem := j.onClaim(ctx, node, answer, s)
+		if done {
+			return problem
+		}
+		last = problem
+		j.tried = append(j.tried, node.ID)
+	}
+	return last
+}
+
+func (j *job) claim(ctx context.Context, agent fleet.NodeID, owner string) (state.ClaimAnswer, error) {
+	ctx, span := telem.Span(ctx, "entry.claim")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	c := state.Claim{ClaimKey: j.claimKey(), Body: j.body, Agent: agent, Owner: owner}
+	j.e.metrics.controlCall()
+	reply, err := ctrl.Call[wire.ClaimReply](ctx, j.e.client, "Control.Claim", &c)
+	return reply.Answer, err
+}
+
+func (j *job) claimKey() state.ClaimKey {
+	return state.ClaimKey{Customer: j.caller.customer, Key: j.caller.key}
+}
+
+// onClaim goes on by what is known of the key. done tells that the request has
+// ended; else it is certain that nothing ran, and another agent may be tried.
+func (j *job) onClaim(ctx context.Context, node fleet.Node, a state.ClaimAnswer, s *sink) (done bool, p *Problem) {
+	r := a.Record
+	switch {
+	case a.Mismatch:
+		return true, refusalProblem(wire.CodeKeyReused)
+	case r.State == state.ClaimDone:
+		s.replay(r)
+		return true, nil
+	case a.Mine:
+		return j.runClaimed(ctx, node, r.Attempt, s, false)
+	}
+	holder, ok := j.e.nodeByID(r.Agent)
+	if !ok {
+		return true, inDoubt("agent_unreachable", "the agent that may have run the request can't be reached")
+	}
+	return j.runClaimed(ctx, holder, r.Attempt, s, true)
+}
+
+// runClaimed runs the attempt that the claim allows, or joins it.
+func (j *job) runClaimed(ctx context.Context, n fleet.Node, attempt int, s *sink, join bool) (bool, *Problem) {
+	var res reservation
+	if !join {
+		got, reason := j.reserve(ctx, attempt)
+		if reason != "" {
+			j.finish(state.FinishClaim{ClaimKey: j.claimKey(), Attempt: attempt, State: state.ClaimNotRun})
+			return true, budgetProblem(reason)
+		}
+		res = got
+	}
+	d := j.dispatch(ctx, n, attempt, res.parts)
+	d.AttachOnly = join
+	st := newStream(j.e, n, d, s)
+	j.e.started(n.ID)
+	v := j.follow(context.WithoutCancel(ctx), st)
+	j.e.ended(n.ID, st, j, v)
+	j.finish(j.outcome(attempt, v, s))
+	if !join {
+		j.settle(n, attempt, res, v)
+	}
+	switch {
+	case v.done:
+		s.end()
+		return true, nil
+	case v.refusal == wire.CodeKeyReused:
+		return true, refusalProblem(v.refusal)
+	case v.refusal != "":
+		return false, refusalProblem(v.refusal)
+	}
+	return true, inDoubt(v.doubt, "the request may have run; ask again with the same key")
+}
+
+// outcome is what the claim's record becomes.
+func (j *job) outcome(attempt int, v verdict, s *sink) state.FinishClaim {
+	f := state.FinishClaim{ClaimKey: j.claimKey(), Attempt: attempt, State: state.ClaimInDoubt}
+	switch {
+	case v.done && len(s.held) <= maxStored:
+		f.State, f.Answer = state.ClaimDone, s.held
+		if s.head != nil {
+			f.Status, f.Type = s.head.Status, s.head.Type
+		}
+	case v.refusal != "" && v.refusal != wire.CodeKeyReused:
+		f.State = state.ClaimNotRun
+	}
+	return f
+}
+
+// finish records an outcome. If the control group can't be reached the claim
+// stays open, which is the safe side.
+func (j *job) finish(f state.FinishClaim) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+	defer cancel()
+	j.e.metrics.controlCall()
+	_, _ = ctrl.Call[wire.ClaimReply](ctx, j.e.client, "Control.Finish", &f)
+}
+
+// replay answers with a stored answer.
+func (s *sink) replay(r state.ClaimRecord) {
+	s.reset()
+	s.head = &wire.Piece{Status: r.Status, Type: r.Type}
+	s.held = r.Answer
+	s.end()
+}
--- /dev/null
+++ b/io/entry/sink.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"dotterelgap/io/wire"
+)
+
+// sink passes an answer on to a caller. A streamed answer is passed on as it
+// comes; another one only once it is whole, so that its outcome is certain.
+type sink struct {
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	limits Limits
+	key    string
+	stream bool
+	head   *wire.Piece
+	held   []byte
+	begun  bool
+	// gone is set once the caller can't be written to.
+	gone bool
+}
+
+func newSink(w http.ResponseWriter, limits Limits, key string, stream bool) *sink {
+	return &sink{w: w, rc: http.NewResponseController(w), limits: limits, key: key, stream: stream}
+}
+
+func (s *sink) setHead(p wire.Piece) {
+	if s.head == nil {
+		s.head = &p
+	}
+	// Only a good answer is streamed: a failure is short and better told whole.
+	s.stream = s.stream && s.head.Status == http.StatusOK
+}
+
+func (s *sink) data(data []byte) {
+	if !s.stream {
+		s.held = append(s.held, data...)
+		return
+	}
+	if !s.begun {
+		s.w.Header().Set("Trailer", headerOutcome)
+		s.begin()
+	}
+	s.write(data)
+	if err := s.rc.Flush(); err != nil {
+		s.gone = true
+	}
+}
+
+func (s *sink) begin() {
+	s.begun = true
+	h := s.w.Header()
+	if s.head.Type != "" {
+		h.Set("Content-Type", s.head.Type)
+	}
+	h.Set(headerRequestKey, s.key)
+	s.w.WriteHeader(s.head.Status)
+}
+
+func (s *sink) write(data []byte) {
+	if s.gone {
+		return
+	}
+	_ = s.rc.SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout))
+	if _, err := s.w.Write(data); err != nil {
+		s.gone = true
+	}
+}
+
+// end finishes a whole answer.
+func (s *sink) end() {
+	if s.begun {
+		s.w.Header().Set(headerOutcome, string(OutcomeDone))
+		return
+	}
+	if s.head == nil {
+		s.head = &wire.Piece{Status: http.StatusOK}
+	}
+	s.w.Header().Set(headerOutcome, string(OutcomeDone))
+	s.w.Header().Set("Content-Length", strconv.Itoa(len(s.held)))
+	s.begin()
+	s.write(s.held)
+}
+
+// fail ends an answer that was begun and is not whole: the caller sees an error
+// event and a connection that breaks off.
+func (s *sink) fail(p *Problem) {
+	p.RequestKey = s.key
+	s.write([]byte("event: error\ndata: " + string(p.body()) + "\n\n"))
+	_ = s.rc.Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// reset drops what is held, before another attempt.
+func (s *sink) reset() {
+	s.head = nil
+	s.held = nil
+}
--- /dev/null
+++ b/io/wire/control.go
@@ -0,0 +1,115 @@
+package wire
+
+import (
+	"net/netip"
+
+	"dotterelgap/core/config"
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/ledger"
+	"dotterelgap/core/raft"
+	"dotterelgap/core/state"
+)
+
+// Hint is part of every answer of a control host. NotLeader means that nothing
+// was done; Leader is where to ask instead, if known.
+type Hint struct {
+	NotLeader bool
+	Leader    netip.AddrPort
+}
+
+// Load is what an agent says of its upstream's work.
+type Load struct {
+	Running int
+	Waiting int
+}
+
+// BeatArgs is a process's regular announcement to the control group.
+type BeatArgs struct {
+	Node fleet.Node
+	// Config is the version that is in force at the process.
+	Config uint64
+	// Roster is the roster version that the process has.
+	Roster RosterVersion
+	Load   Load
+	// Reports answer the fences of earlier replies.
+	Reports []escrow.Report
+	// Unknown are grants that the agent wants to know about.
+	Unknown []escrow.GrantID
+	// Left is set by a process that ends now and holds nothing more.
+	Left bool
+}
+
+// RosterVersion orders rosters over leaders.
+type RosterVersion struct {
+	Term, Seq uint64
+}
+
+// Roster lists the processes that are alive, as the leader sees them.
+type Roster struct {
+	Version RosterVersion
+	Nodes   []fleet.Node
+}
+
+// BeatReply answers a beat.
+type BeatReply struct {
+	Hint
+	Config config.Delta
+	Roster *Roster
+	// Joined is the next grant id when the agent joined; 0 while it has not.
+	Joined escrow.GrantID
+	// Fence lists grants that the agent must fence and report on.
+	Fence []escrow.Grant
+	Floor escrow.GrantID
+	// Open and Shut answer BeatArgs.Unknown.
+	Open, Shut []escrow.GrantID
+	// Recalls are grants that the entry should give back.
+	Recalls []escrow.GrantID
+	// Order is the highest order number given out for the agent's engine; it is
+	// confirmed by a quorum if BeatArgs.Config was 0.
+	Order uint64
+	// Control lists the members of the control group.
+	Control []netip.AddrPort
+}
+
+// BudgetArgs carries a holder's refills and statements.
+type BudgetArgs struct {
+	Refills []escrow.Refill
+	Spends  []escrow.Spend
+	Closes  []escrow.Close
+}
+
+// BudgetReply answers the refills in their order.
+type BudgetReply struct {
+	Hint
+	Answers []ledger.Answer
+}
+
+// ClaimReply answers a claim for work that must not repeat.
+type ClaimReply struct {
+	Hint
+	Answer state.ClaimAnswer
+}
+
+// OrderReply carries an order number.
+type OrderReply struct {
+	Hint
+	Number uint64
+}
+
+// JoinArgs asks to add a control host.
+type JoinArgs struct {
+	Member raft.Member
+}
+
+// JoinReply says that the host is a learner or voter of the group.
+type JoinReply struct {
+	Hint
+	Voter bool
+}
+
+// Empty is the answer of calls that answer nothing.
+type Empty struct{}
+
+// GetHint returns the hint of an answer.
+func (h Hint) GetHint() Hint { return h }
--- /dev/null
+++ b/io/wire/keys.go
@@ -0,0 +1,55 @@
+package wire
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/gravitational/trace"
+)
+
+// Keys are the paths of a process's key material, in PEM. All three or none
+// are set. Every process of a fleet has a certificate of the same authority.
+type Keys struct {
+	CAFile   string `json:"ca_file"`
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+}
+
+// Enabled tells whether keys are set.
+func (k Keys) Enabled() bool {
+	return k.CAFile != "" || k.CertFile != "" || k.KeyFile != ""
+}
+
+// TLS loads the keys, or returns nil where none are set. The configuration
+// serves both ends: each side shows its certificate and checks the other's.
+func (k Keys) TLS() (*tls.Config, error) {
+	if !k.Enabled() {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(k.CertFile, k.KeyFile)
+	if err != nil {
+		return nil, trace.Wrap(err, "loading %s and %s", k.CertFile, k.KeyFile)
+	}
+	pem, err := os.ReadFile(k.CAFile)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, trace.BadParameter("%s holds no certificate", k.CAFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      roots,
+		ClientCAs:    roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+		ServerName:   ServerName,
+		NextProtos:   []string{"http/1.1"},
+	}, nil
+}
+
+// ServerName is the name in every process's certificate: processes are reached
+// by IP number, and membership of the fleet is what the certificate proves.
+const ServerName = "dotterelgap.internal"
--- /dev/null
+++ b/io/wire/pool.go
@@ -0,0 +1,177 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/rpc"
+	"sync"
+
+	"github.com/gravitational/trace"
+)
+
+// Pool keeps one net/rpc connection per address.
+type Pool struct {
+	tls *tls.Config
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*lazyClient
+	closed  bool
+}
+
+type lazyClient struct {
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// NewPool returns a pool without connections.
+func NewPool(cfg *tls.Config) *Pool {
+	return &Pool{tls: cfg, clients: map[netip.AddrPort]*lazyClient{}}
+}
+
+// UnknownOutcomeError says that a call was sent and no answer came: the other
+// side may have carried it out.
+type UnknownOutcomeError struct {
+	Addr   netip.AddrPort
+	Method string
+	Err    error
+}
+
+// Error implements error.
+func (e *UnknownOutcomeError) Error() string {
+	return e.Method + " at " + e.Addr.String() + ": no answer: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
+
+// NotSentError says that a call did not leave this process.
+type NotSentError struct {
+	Addr netip.AddrPort
+	Err  error
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string {
+	return "connecting to " + e.Addr.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// Call calls a method and gives up when ctx ends. Errors are *NotSentError,
+// *UnknownOutcomeError, or what the method returned.
+func (p *Pool) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
+	c, err := p.client(ctx, addr)
+	if err != nil {
+		return &NotSentError{Addr: addr, Err: err}
+	}
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		return &UnknownOutcomeError{Addr: addr, Method: method, Err: ctx.Err()}
+	case <-call.Done:
+	}
+	if call.Error == nil {
+		return nil
+	}
+	var answered rpc.ServerError
+	if errors.As(call.Error, &answered) {
+		return trace.Wrap(call.Error)
+	}
+	p.drop(addr, c)
+	return &UnknownOutcomeError{Addr: addr, Method: method, Err: call.Error}
+}
+
+func (p *Pool) client(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+	p.mu.Lock()
+	lc, ok := p.clients[addr]
+	if !ok {
+		lc = &lazyClient{}
+		p.clients[addr] = lc
+	}
+	closed := p.closed
+	p.mu.Unlock()
+	if closed {
+		return nil, net.ErrClosed
+	}
+	lc.mu.Lock()
+	defer lc.mu.Unlock()
+	if lc.client != nil {
+		return lc.client, nil
+	}
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	lc.client = c
+	return c, nil
+}
+
+func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := DialContext(ctx, addr, p.tls)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if _, err := io.WriteString(conn, "CONNECT "+rpc.DefaultRPCPath+" HTTP/1.0\n\n"); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = conn.Close()
+		return nil, trace.ConnectionProblem(nil, "unexpected answer %q", resp.Status)
+	}
+	return rpc.NewClient(conn), nil
+}
+
+// DialContext opens a connection to another process of the system.
+func DialContext(ctx context.Context, addr netip.AddrPort, cfg *tls.Config) (net.Conn, error) {
+	var d net.Dialer
+	if cfg == nil {
+		return d.DialContext(ctx, "tcp", addr.String())
+	}
+	td := tls.Dialer{NetDialer: &d, Config: cfg}
+	return td.DialContext(ctx, "tcp", addr.String())
+}
+
+func (p *Pool) drop(addr netip.AddrPort, c *rpc.Client) {
+	p.mu.Lock()
+	lc := p.clients[addr]
+	p.mu.Unlock()
+	lc.mu.Lock()
+	defer lc.mu.Unlock()
+	if lc.client == c {
+		lc.client = nil
+		_ = c.Close()
+	}
+}
+
+// Close closes all connections; calls on their way end with an error.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, lc := range p.clients {
+		lc.mu.Lock()
+		if lc.client != nil {
+			_ = lc.client.Close()
+			lc.client = nil
+		}
+		lc.mu.Unlock()
+	}
+	return nil
+}
