--- a/core/escrow/effects.go
+++ b/core/escrow/effects.go
@@ -40,6 +40,9 @@
 	Place    fleet.Place  `cbor:"place" json:"place"`
 	Customer string       `cbor:"customer" json:"customer"`
 	Seq      uint64       `cbor:"seq" json:"seq"`
+	// Latest is the newest grant that the holder got for the customer. A newer
+	// one in the ledger was opened by a message that came late, and is the answer.
+	Latest GrantID `cbor:"latest" json:"latest"`
 	// Rate is the demand in tokens per second.
 	Rate float64 `cbor:"rate" json:"rate"`
 	// Have is what the holder could still reserve.
--- a/core/escrow/held.go
+++ b/core/escrow/held.go
@@ -23,10 +23,12 @@
 	// confined is set once the rest of a closing grant was given back.
 	confined bool
 	// shared is set where another holder had or has a part of the grant.
-	shared   bool
-	target   Tokens
-	acks     map[fleet.NodeID]Tokens
-	sentAt   time.Time
+	shared bool
+	target Tokens
+	acks   map[fleet.NodeID]Tokens
+	sentAt time.Time
+	// askedAt is when the present claim was first sent.
+	askedAt  time.Time
 	reported Tokens
 }
 
@@ -68,7 +70,7 @@
 		return false
 	}
 	if h.closing {
-		return len(h.acks) >= h.grant.Majority() || len(h.grant.Witnesses) == 0
+		return h.shared || len(h.acks) >= h.grant.Majority() || len(h.grant.Witnesses) == 0
 	}
 	return h.ahead() == 0 && (h.lost || h.claimed == h.grant.Amount)
 }
@@ -76,6 +78,7 @@
 // claim starts a claim up to target at all witnesses.
 func (h *held) claim(now time.Time, target Tokens, fx *Effects) {
 	h.target = target
+	h.askedAt = now
 	h.acks = map[fleet.NodeID]Tokens{}
 	h.send(now, fx)
 }
@@ -104,7 +107,7 @@
 		return false
 	}
 	if h.closing {
-		return len(h.acks) < h.grant.Majority()
+		return !h.shared && len(h.acks) < h.grant.Majority()
 	}
 	return !h.lost && (h.preparing || h.target > h.claimed)
 }
@@ -127,6 +130,16 @@
 	h.claim(now, 0, fx)
 }
 
+// giveUp stops claiming at witnesses that don't answer. The ledger settles the
+// grant with the agents, so that its rest is not locked. While the ledger is
+// out of reach, what was claimed stays in use.
+func (h *held) giveUp(cutOff bool) {
+	h.lost = true
+	h.shared = true
+	h.preparing = false
+	h.closing = h.closing || !cutOff
+}
+
 // onReply takes in a witness's answer; true means that free may have grown.
 func (h *held) onReply(now time.Time, r ClaimReply, fx *Effects) bool {
 	if !r.OK {
--- a/core/escrow/holder.go
+++ b/core/escrow/holder.go
@@ -86,10 +86,11 @@
 // AddGrant takes in the grant that the ledger opened for refill seq.
 func (h *Holder) AddGrant(now time.Time, seq uint64, g Grant, fx *Effects) {
 	p := h.purse(g.Customer, now)
-	if seq != p.seq || g.Holder != h.self {
+	if seq != p.seq || g.Holder != h.self || g.ID <= p.latest {
 		return
 	}
 	p.answered(now)
+	p.latest = g.ID
 	h.hold(p, newHeld(g))
 	p.stocked = p.ahead()
 	if h.draining {
@@ -227,9 +228,7 @@
 	for _, c := range slices.Sorted(maps.Keys(h.purses)) {
 		p := h.purses[c]
 		for _, g := range p.grants {
-			if g.claiming() && now.Sub(g.sentAt) >= h.opts.ClaimRetry {
-				g.send(now, fx)
-			}
+			h.retryClaim(now, p, g, fx)
 		}
 		h.serve(now, p, fx)
 		h.expire(now, p, fx)
@@ -238,6 +237,16 @@
 	}
 }
 
+func (h *Holder) retryClaim(now time.Time, p *purse, g *held, fx *Effects) {
+	switch {
+	case !g.claiming() || now.Sub(g.sentAt) < h.opts.ClaimRetry:
+	case now.Sub(g.askedAt) >= h.opts.ClaimGiveUp:
+		g.giveUp(p.cutOff)
+	default:
+		g.send(now, fx)
+	}
+}
+
 // serve gives waiting requests what there is, in order, and asks for more.
 func (h *Holder) serve(now time.Time, p *purse, fx *Effects) {
 	kept := p.waiting[:0]
@@ -298,7 +307,7 @@
 	}
 	p.asking = true
 	fx.Refills = append(fx.Refills, Refill{
-		Holder: h.self, Place: h.place, Customer: p.customer, Seq: p.seq,
+		Holder: h.self, Place: h.place, Customer: p.customer, Seq: p.seq, Latest: p.latest,
 		Rate: rate, Have: have, Need: need, Horizon: h.opts.Horizon.Seconds(),
 	})
 	if p.cutOff && need > 0 {
--- a/core/escrow/meter.go
+++ b/core/escrow/meter.go
@@ -15,7 +15,8 @@
 	// Used holds the tokens made so far; final once Done is set.
 	Used Tokens `cbor:"used" json:"used"`
 	Done bool   `cbor:"done" json:"done"`
-	// Retried is set where another attempt for the key may exist.
+	// Retried is set where an earlier attempt for the key may exist at another
+	// agent. Until it is acknowledged, the bill is the earlier attempt's.
 	Retried bool `cbor:"retried" json:"retried"`
 	Acked   bool `cbor:"acked" json:"acked"`
 }
@@ -27,8 +28,7 @@
 	Agent   fleet.NodeID `cbor:"agent"`
 	Fenced  bool         `cbor:"fenced"`
 	Settled Tokens       `cbor:"settled"`
-	// Charges are those not folded into Settled: unfinished, not
-	// acknowledged, or of a key with several attempts.
+	// Charges are those that are unfinished or not acknowledged.
 	Charges []Charge `cbor:"charges"`
 	// Watermark is the highest claim known here as witness, if Witness is set.
 	Watermark Tokens `cbor:"watermark"`
@@ -173,21 +173,35 @@
 	m.fold(c)
 }
 
-// Ack tells the meter that the holder has booked the charge at billed tokens.
-// Zero voids an attempt whose key was billed by another one.
-func (m *Meter) Ack(key string, attempt int, billed Tokens) {
+// Ack tells the meter that an ended charge is booked at billed tokens, and
+// returns what it is booked at. The first word counts. Zero voids the charge.
+func (m *Meter) Ack(key string, attempt int, billed Tokens) Tokens {
 	c, ok := m.charges[chargeID{key, attempt}]
-	if !ok || !c.Done || c.Acked {
-		return
+	if !ok || !c.Done {
+		return 0
 	}
 	c.Used = min(c.Used, billed)
 	c.Acked = true
 	m.fold(c)
+	return c.Used
+}
+
+// Fenced tells whether a grant of a charge is fenced: what the charge used is
+// then billed by the ledger.
+func (m *Meter) Fenced(key string, attempt int) bool {
+	c, ok := m.charges[chargeID{key, attempt}]
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(c.Parts, func(p Part) bool {
+		_, fenced := m.fenced[p.Grant]
+		return fenced || p.Grant < m.floor
+	})
 }
 
 // fold moves a charge that nobody will ask about again into the sums.
 func (m *Meter) fold(c *Charge) {
-	if !c.Done || !c.Acked || c.Retried {
+	if !c.Done || !c.Acked {
 		return
 	}
 	for _, p := range Split(c.Parts, c.Used) {
--- a/core/escrow/options.go
+++ b/core/escrow/options.go
@@ -22,6 +22,8 @@
 	ReportInterval time.Duration
 	// ClaimRetry is the time after which unanswered claims are sent again.
 	ClaimRetry time.Duration
+	// ClaimGiveUp is the time after which claiming at silent witnesses ends.
+	ClaimGiveUp time.Duration
 }
 
 // DefaultOptions returns the options that the entries run with.
@@ -35,5 +37,6 @@
 		RateHalfLife:   2 * time.Minute,
 		ReportInterval: 10 * time.Second,
 		ClaimRetry:     200 * time.Millisecond,
+		ClaimGiveUp:    time.Second,
 	}
 }
--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -11,6 +11,7 @@
 	waiting    []waiting
 	rate       rate
 	seq        uint64
+	latest     GrantID
 	asking     bool
 	denied     bool
 	recalling  bool
--- a/core/ledger/grants.go
+++ b/core/ledger/grants.go
@@ -22,6 +22,9 @@
 	if g, ok := l.byHolder[holderKey{r.Holder, r.Customer, r.Seq}]; ok {
 		return Answer{Seq: r.Seq, Grant: &g.Grant}
 	}
+	if g := l.missed(r); g != nil {
+		return Answer{Seq: r.Seq, Grant: &g.Grant}
+	}
 	a, ok := l.Accounts[r.Customer]
 	if !ok {
 		return l.deny(r, nil)
@@ -45,6 +48,17 @@
 	return Answer{Seq: r.Seq, Grant: &g.Grant}
 }
 
+// missed finds a grant that was opened for the holder and never reached it.
+func (l *Ledger) missed(r escrow.Refill) *OpenGrant {
+	for _, id := range l.perOwner[r.Customer] {
+		g := l.Grants[id]
+		if id > r.Latest && g.Grant.Holder == r.Holder && !g.Settling {
+			return g
+		}
+	}
+	return nil
+}
+
 func (l *Ledger) deny(r escrow.Refill, recalls []escrow.GrantID) Answer {
 	d := &escrow.Denial{Customer: r.Customer, Seq: r.Seq, Recalling: len(recalls) > 0}
 	return Answer{Seq: r.Seq, Denial: d, Recalls: recalls}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -60,7 +60,6 @@
 	NextGrant escrow.GrantID                `cbor:"next_grant"`
 	Agents    map[fleet.NodeID]*Agent       `cbor:"agents"`
 	WriteOffs map[string]escrow.GrantID     `cbor:"write_offs"`
-	Retried   map[string]escrow.GrantID     `cbor:"retried"`
 	byHolder  map[holderKey]*OpenGrant      // derived
 	held      map[string]escrow.Tokens      // derived
 	perOwner  map[string][]escrow.GrantID   // derived
@@ -88,7 +87,6 @@
 	l.Grants = orEmpty(l.Grants)
 	l.Agents = orEmpty(l.Agents)
 	l.WriteOffs = orEmpty(l.WriteOffs)
-	l.Retried = orEmpty(l.Retried)
 	l.byHolder = map[holderKey]*OpenGrant{}
 	l.held = map[string]escrow.Tokens{}
 	l.perOwner = map[string][]escrow.GrantID{}
@@ -244,7 +242,6 @@
 func (l *Ledger) prune() {
 	floor := l.Floor()
 	maps.DeleteFunc(l.Agents, func(_ fleet.NodeID, a *Agent) bool { return a.Gone && a.GoneAt <= floor })
-	maps.DeleteFunc(l.Retried, func(_ string, id escrow.GrantID) bool { return id < floor })
 }
 
 // remove takes a grant out of the ledger and bills what was spent of it.
--- a/core/ledger/settle.go
+++ b/core/ledger/settle.go
@@ -54,8 +54,8 @@
 	// Bill is what was spent, valid if Final.
 	Bill  escrow.Tokens `cbor:"bill"`
 	Final bool          `cbor:"final"`
-	// Keys are the retried keys that Bill covers.
-	Keys []string `cbor:"keys"`
+	// Doubt: an agent that may have spent is gone without its last word.
+	Doubt bool `cbor:"doubt"`
 }
 
 // Assess works out from the agents' reports how far a grant can be settled. It
@@ -66,26 +66,39 @@
 		return Progress{}, false
 	}
 	p := Progress{Grant: id, Cap: min(g.Outstanding, watermark(g.Grant, reports))}
+	all := l.withLeft(id, reports)
 	fenced, final := true, true
 	for agent, a := range l.Agents {
-		if a.Gone {
+		if !a.concerns(id) {
 			continue
 		}
-		r, ok := reports[agent]
+		r, ok := all[agent]
 		fenced = fenced && ok && r.Fenced
 		final = final && ok && r.Done()
 	}
-	if !fenced {
-		return p, p.Cap < g.Outstanding
+	if fenced {
+		known := billable(id, all)
+		p.Cap = min(p.Cap, known.cap)
+		p.Bill, p.Final = known.bill, final
 	}
-	known := billable(id, l.withLeft(id, reports), l.Retried)
-	if l.mayHaveLost(g) && known.cap < p.Cap {
-		p.Cap = max(p.Cap, known.cap)
-		return p, p.Cap < g.Outstanding || (final && !g.Doubt)
+	p.Doubt = l.lost(id, all)
+	return p, final || p.Cap < g.Outstanding || p.Doubt != g.Doubt
+}
+
+// concerns tells whether an agent's word on a grant is needed: it may have run
+// work for it, and has not left in an orderly way.
+func (a *Agent) concerns(id escrow.GrantID) bool {
+	return !a.Gone || (!a.Left && id < a.GoneAt)
+}
+
+// lost tells whether an agent whose last word is needed is gone without it.
+func (l *Ledger) lost(id escrow.GrantID, reports map[fleet.NodeID]escrow.Report) bool {
+	for agent, a := range l.Agents {
+		if r, ok := reports[agent]; a.Gone && a.concerns(id) && !(ok && r.Done()) {
+			return true
+		}
 	}
-	p.Cap = min(p.Cap, known.cap)
-	p.Bill, p.Keys, p.Final = known.bill, known.keys, final
-	return p, final || p.Cap < g.Outstanding
+	return false
 }
 
 // withLeft adds the last reports of agents that left in an orderly way.
@@ -102,16 +115,6 @@
 	return out
 }
 
-// mayHaveLost tells whether an agent with a part in the grant has ended.
-func (l *Ledger) mayHaveLost(g *OpenGrant) bool {
-	for _, a := range l.Agents {
-		if a.Gone && !a.Left && g.Grant.ID < a.GoneAt {
-			return true
-		}
-	}
-	return false
-}
-
 // watermark is the most that was claimed, if a majority of witnesses is known.
 func watermark(g escrow.Grant, reports map[fleet.NodeID]escrow.Report) escrow.Tokens {
 	var mark escrow.Tokens
@@ -132,62 +135,26 @@
 
 type billing struct {
 	bill, cap escrow.Tokens
-	keys      []string
 }
 
-// billable adds up the agents' accounts. Of several attempts for one key the
-// acknowledged one is billed, else the largest.
-func billable(id escrow.GrantID, reports map[fleet.NodeID]escrow.Report, retried map[string]escrow.GrantID) billing {
+// billable adds up the agents' accounts. An attempt that may not be its key's
+// first is billed only if its entry has made sure of that and said so.
+func billable(id escrow.GrantID, reports map[fleet.NodeID]escrow.Report) billing {
 	var b billing
-	perKey := map[string][]escrow.Charge{}
 	for _, r := range reports {
 		b.bill += r.Settled
 		b.cap += r.Settled
 		for _, c := range r.Charges {
-			perKey[c.Key] = append(perKey[c.Key], c)
+			n := partOf(id, c)
+			b.cap += n
+			if c.Acked || !c.Retried {
+				b.bill += n
+			}
 		}
 	}
-	for key, charges := range perKey {
-		b.cap += reservedFor(id, charges)
-		if _, ok := retried[key]; ok {
-			continue
-		}
-		used, multi := billedOf(id, charges)
-		b.bill += used
-		if multi {
-			b.keys = append(b.keys, key)
-		}
-	}
-	slices.Sort(b.keys)
 	return b
 }
 
-func reservedFor(id escrow.GrantID, charges []escrow.Charge) escrow.Tokens {
-	var sum escrow.Tokens
-	for _, c := range charges {
-		sum += partOf(id, c)
-	}
-	return sum
-}
-
-func billedOf(id escrow.GrantID, charges []escrow.Charge) (used escrow.Tokens, retried bool) {
-	var acked, largest escrow.Tokens
-	anyAcked := false
-	for _, c := range charges {
-		n := partOf(id, c)
-		retried = retried || c.Retried
-		largest = max(largest, n)
-		if c.Acked {
-			anyAcked = true
-			acked += n
-		}
-	}
-	if anyAcked {
-		return acked, retried
-	}
-	return largest, retried
-}
-
 // partOf is what a charge took, or may still take, from a grant.
 func partOf(id escrow.GrantID, c escrow.Charge) escrow.Tokens {
 	parts := c.Parts
@@ -211,12 +178,9 @@
 	}
 	l.confine(g, p.Cap)
 	if !p.Final {
-		g.Doubt = l.mayHaveLost(g)
+		g.Doubt = p.Doubt
 		return
 	}
-	for _, k := range p.Keys {
-		l.Retried[k] = p.Grant
-	}
 	l.remove(g, p.Bill)
 	l.prune()
 }
--- a/core/runs/machine.go
+++ b/core/runs/machine.go
@@ -19,7 +19,11 @@
 	runs   map[ID]*run
 	// refused holds the attempts that may not start here; true where the
 	// attempt did run and its answer is no longer kept.
-	refused  map[attemptID]bool
+	refused map[attemptID]bool
+	// voided holds requests that another agent took over; none starts here.
+	voided map[ID]struct{}
+	// expired holds requests that ran here and were billed or may be.
+	expired  map[ID]bool
 	order    []attemptID // of refused, oldest first
 	finished []*run      // oldest first
 	bytes    int64
@@ -33,7 +37,7 @@
 func New(meter *escrow.Meter, limits Limits) *Machine {
 	return &Machine{
 		limits: limits, meter: meter,
-		runs: map[ID]*run{}, refused: map[attemptID]bool{},
+		runs: map[ID]*run{}, refused: map[attemptID]bool{}, voided: map[ID]struct{}{}, expired: map[ID]bool{},
 	}
 }
 
@@ -60,7 +64,7 @@
 	if ran {
 		return Decision{Reason: ReasonExpired}
 	}
-	if refused || s.AttachOnly {
+	if _, voided := m.voided[s.ID]; refused || voided || s.AttachOnly {
 		m.refuse(s.ID, s.Attempt, false)
 		return Decision{Reason: ReasonNoRun}
 	}
@@ -131,6 +135,7 @@
 	m.bytes += size
 	m.finished = append(m.finished, r)
 	m.meter.End(chargeKey(id), r.spec.Attempt)
+	m.settleVoid(r)
 	return r.used
 }
 
@@ -142,14 +147,54 @@
 		return
 	}
 	m.End(now, id, 0)
-	m.meter.Ack(chargeKey(id), r.spec.Attempt, 0)
+	m.Ack(id, r.spec.Attempt, 0)
 	m.drop(r)
 	m.refuse(id, r.spec.Attempt, false)
 }
 
-// Ack notes that the charge of an attempt was booked at billed tokens.
-func (m *Machine) Ack(id ID, attempt int, billed escrow.Tokens) {
-	m.meter.Ack(chargeKey(id), attempt, billed)
+// Ack books an ended run at no more than billed tokens and returns what it is
+// booked at. The first word counts: this machine decides for its runs.
+func (m *Machine) Ack(id ID, attempt int, billed escrow.Tokens) escrow.Tokens {
+	r, ok := m.runs[id]
+	if !ok || r.spec.Attempt != attempt || !r.done {
+		return 0
+	}
+	if !r.acked {
+		r.acked = true
+		r.billed = min(r.used, billed)
+		m.meter.Ack(chargeKey(id), attempt, r.billed)
+	}
+	return r.billed
+}
+
+// Void keeps a request from being billed here, now or later, in favour of an
+// attempt at another agent. It is false where this agent's run is billed or may
+// be: then the other attempt must not be.
+func (m *Machine) Void(id ID) bool {
+	m.voided[id] = struct{}{}
+	r, ok := m.runs[id]
+	if !ok {
+		m.refuse(id, 0, false)
+		return !m.expired[id]
+	}
+	if r.acked {
+		return r.billed == 0
+	}
+	if m.meter.Fenced(chargeKey(id), r.spec.Attempt) {
+		return false
+	}
+	r.voided = true
+	m.settleVoid(r)
+	return true
+}
+
+// settleVoid books a voided run at nothing once it has ended.
+func (m *Machine) settleVoid(r *run) {
+	if r.voided && r.done && !r.acked {
+		r.acked = true
+		r.billed = 0
+		m.meter.Ack(chargeKey(r.spec.ID), r.spec.Attempt, 0)
+	}
 }
 
 // Resolution says what became of an attempt.
@@ -159,6 +204,8 @@
 	// Expired: it ran, and its answer is no longer kept.
 	Expired bool
 	Used    escrow.Tokens
+	// Payment names the reservation that pays for the run.
+	Payment string
 }
 
 // Resolve finds out about an attempt. One that has not started is refused from
@@ -170,7 +217,7 @@
 		ran := m.refused[attemptID{id, attempt}]
 		return Resolution{NotRun: !ran, Expired: ran}
 	}
-	return Resolution{Running: !r.done, Used: r.used}
+	return Resolution{Running: !r.done, Used: r.used, Payment: r.spec.Payment}
 }
 
 func (m *Machine) refuse(id ID, attempt int, ran bool) {
@@ -182,6 +229,8 @@
 	m.order = append(m.order, a)
 	if len(m.order) > m.limits.KeepRefusals {
 		delete(m.refused, m.order[0])
+		delete(m.voided, m.order[0].ID)
+		delete(m.expired, m.order[0].ID)
 		m.order = m.order[1:]
 	}
 }
@@ -196,6 +245,9 @@
 		}
 		m.drop(r)
 		m.refuse(r.spec.ID, r.spec.Attempt, true)
+		if !r.voided {
+			m.expired[r.spec.ID] = true
+		}
 	}
 }
 
--- a/core/runs/run.go
+++ b/core/runs/run.go
@@ -15,8 +15,11 @@
 // Spec describes an attempt that asks to run.
 type Spec struct {
 	ID
-	Attempt    int
-	Body       uint64
+	Attempt int
+	Body    uint64
+	// Payment names the reservation that pays. A later reservation for a run
+	// that exists pays nothing.
+	Payment    string
 	Parts      []escrow.Part
 	Retried    bool
 	AttachOnly bool
@@ -65,6 +68,10 @@
 	ended time.Time
 	size  int64
 	used  escrow.Tokens
+	// acked is set once billed is final; voided, once nothing may be billed.
+	acked  bool
+	billed escrow.Tokens
+	voided bool
 }
 
 // Limits bound what an agent runs and keeps.
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -44,7 +44,7 @@
 		return
 	}
 	used := a.book.End(time.Now(), id, ans.size())
-	end := wire.Piece{Kind: wire.PieceEnd, Attempt: d.Attempt, Used: used, Parts: d.Parts}
+	end := wire.Piece{Kind: wire.PieceEnd, Attempt: d.Attempt, Used: used, Payment: d.Payment}
 	if err != nil {
 		a.log.Warn("agent: run failed", zap.String("key", d.Key), zap.Error(err))
 		end.Kind, end.Code, end.Message = wire.PieceFailed, failureCode(ctx, err), err.Error()
--- a/io/agent/service.go
+++ b/io/agent/service.go
@@ -37,18 +37,32 @@
 	s.a.mu.Lock()
 	defer s.a.mu.Unlock()
 	r := s.a.book.Resolve(runs.ID{Customer: args.Customer, Key: args.Key}, args.Attempt)
-	*reply = wire.Resolved{NotRun: r.NotRun, Running: r.Running, Expired: r.Expired, Used: r.Used}
+	*reply = wire.Resolved{NotRun: r.NotRun, Running: r.Running, Expired: r.Expired, Used: r.Used, Payment: r.Payment}
 	return nil
 }
 
-// Ack notes that a charge was booked.
-func (s *Service) Ack(args *wire.AckArgs, _ *wire.Empty) error {
+// Ack books a charge and says at what. The agent decides: an attempt that was
+// voided in favour of another is booked at nothing.
+func (s *Service) Ack(args *wire.AckArgs, reply *wire.AckReply) error {
+	if args.Agent != s.a.deps.Node.ID {
+		reply.OtherLife = true
+		return nil
+	}
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	reply.Billed = s.a.book.Ack(runs.ID{Customer: args.Customer, Key: args.Key}, args.Attempt, args.Billed)
+	return nil
+}
+
+// Void keeps a request from being billed here, in favour of a later attempt at
+// another agent.
+func (s *Service) Void(args *wire.RunID, reply *wire.VoidReply) error {
 	if args.Agent != s.a.deps.Node.ID {
 		return nil
 	}
 	s.a.mu.Lock()
 	defer s.a.mu.Unlock()
-	s.a.book.Ack(runs.ID{Customer: args.Customer, Key: args.Key}, args.Attempt, args.Billed)
+	reply.Voided = s.a.book.Void(runs.ID{Customer: args.Customer, Key: args.Key})
 	return nil
 }
 
--- a/io/agent/stream.go
+++ b/io/agent/stream.go
@@ -100,7 +100,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	dec := a.book.Admit(time.Now(), runs.Spec{
-		ID: id, Attempt: d.Attempt, Body: d.Body, Parts: d.Parts, Retried: d.Retried, AttachOnly: d.AttachOnly,
+		ID: id, Attempt: d.Attempt, Body: d.Body, Payment: d.Payment, Parts: d.Parts, Retried: d.Retried, AttachOnly: d.AttachOnly,
 	})
 	a.forgetAnswers()
 	switch dec.Action {
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"dotterelgap/core/config"
@@ -12,8 +13,6 @@
 	"dotterelgap/core/route"
 	"dotterelgap/io/telem"
 	"dotterelgap/io/wire"
-
-	"go.uber.org/zap"
 )
 
 // Limits of following one attempt.
@@ -53,9 +52,8 @@
 	// unresolved: the agent could not be asked about the attempt.
 	unresolved bool
 	used       escrow.Tokens
-	// served is the attempt that made the answer; parts pay for it.
-	served int
-	parts  []escrow.Part
+	// payment names the reservation that pays for the run.
+	payment string
 }
 
 // serve runs a repeatable request: tries follow one another until one succeeds,
@@ -147,11 +145,14 @@
 	if reason != "" {
 		return verdict{}, budgetProblem(reason)
 	}
-	d := j.dispatch(ctx, n, attempt, res.parts)
+	d := j.dispatch(ctx, n, attempt, res)
 	st := newStream(j.e, n, d, s)
 	j.e.started(n.ID)
 	v := j.follow(ctx, st)
 	j.e.ended(n.ID, st, j, v)
+	if !v.done && !s.begun {
+		v.used = 0
+	}
 	j.settle(n, attempt, res, v)
 	return v, nil
 }
@@ -163,10 +164,10 @@
 	return j.e.budget.reserve(ctx, escrow.Request{ID: id, Customer: j.caller.customer, Worst: j.worst})
 }
 
-func (j *job) dispatch(ctx context.Context, n fleet.Node, attempt int, parts []escrow.Part) wire.Dispatch {
+func (j *job) dispatch(ctx context.Context, n fleet.Node, attempt int, res reservation) wire.Dispatch {
 	return wire.Dispatch{
 		Agent: n.ID, Customer: j.caller.customer, Key: j.caller.key, Attempt: attempt, Body: j.body,
-		Parts: parts, Retried: j.retried || j.caller.keyed, Priority: j.access.Priority, Timeout: j.timeout,
+		Payment: res.id, Parts: res.parts, Retried: j.retried, Priority: j.access.Priority, Timeout: j.timeout,
 		Trace: telem.Inject(ctx), Request: j.request,
 	}
 }
@@ -194,7 +195,7 @@
 		case ok && r.NotRun && !st.headSeen:
 			return verdict{refusal: wire.CodeUpstreamDown}
 		case try >= resumeTries:
-			return verdict{doubt: wire.CodeUpstreamDown, unresolved: !ok, used: r.Used, served: st.dispatch.Attempt}
+			return verdict{doubt: wire.CodeUpstreamDown, unresolved: !ok, used: r.Used, payment: r.Payment}
 		}
 		wait(ctx, resumePause<<try)
 	}
@@ -203,7 +204,7 @@
 // conclude turns the last piece into a verdict. An agent that was restarted
 // since the first dispatch can't tell what its earlier life did.
 func conclude(st *stream, last wire.Piece, again bool) verdict {
-	v := verdict{used: last.Used, served: last.Attempt, parts: last.Parts}
+	v := verdict{used: last.Used, payment: last.Payment}
 	switch last.Kind {
 	case wire.PieceEnd:
 		v.done = true
@@ -239,7 +240,7 @@
 			return verdict{refusal: wire.CodeCanceled}
 		}
 		if !r.Running {
-			return verdict{doubt: wire.CodeCanceled, used: r.Used, served: st.dispatch.Attempt}
+			return verdict{doubt: wire.CodeCanceled, used: r.Used, payment: r.Payment}
 		}
 		wait(ctx, resumePause)
 	}
@@ -264,86 +265,30 @@
 	return r, err == nil
 }
 
-// settle books the attempt: its use at the holder first, then the word to the
-// agent that it was booked. An attempt whose answer the caller did not get is
-// not billed, unless a part of it was passed on.
+// settle books the attempt: first at the agent, which decides for its runs, then
+// at the holder. An attempt whose answer the caller did not get is not billed,
+// unless a part of it was passed on.
 func (j *job) settle(n fleet.Node, attempt int, res reservation, v verdict) {
 	if v.refusal == wire.CodeFenced {
 		for _, p := range res.parts {
 			j.e.budget.fenced(p.Grant)
 		}
 	}
-	if v.unresolved {
-		j.e.wg.Go(func() { j.e.settleLater(n, j.runID(n, attempt), res) })
-		return
-	}
-	own := v.served == attempt && samePayment(v.parts, res.parts)
-	used := v.used
-	if v.refusal != "" || !own {
-		used = 0
-	}
-	j.e.metrics.used(used)
+	earlier := slices.Clone(j.tried)
 	j.e.wg.Go(func() {
-		j.e.budget.release(res, used)
-		if v.served > 0 {
-			j.e.ack(n, j.runID(n, v.served), v.used)
+		if v.refusal != "" || (!v.unresolved && v.payment != res.id) {
+			j.e.budget.release(res, 0)
+			return
 		}
+		b := booking{e: j.e, node: n, run: j.runID(n, attempt), res: res, billed: v.used, earlier: earlier}
+		b.book()
 	})
 }
 
-// samePayment tells whether a run is charged to this reservation.
-func samePayment(ran, reserved []escrow.Part) bool {
-	if len(ran) == 0 {
-		return true
-	}
-	if len(ran) != len(reserved) {
-		return false
-	}
-	for i := range ran {
-		if ran[i] != reserved[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (j *job) runID(n fleet.Node, attempt int) wire.RunID {
 	return wire.RunID{Agent: n.ID, Customer: j.caller.customer, Key: j.caller.key, Attempt: attempt}
 }
 
-func (e *Entry) ack(n fleet.Node, id wire.RunID, billed escrow.Tokens) {
-	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
-	defer cancel()
-	if err := e.deps.Pool.Call(ctx, n.Addr, "Agent.Ack", &wire.AckArgs{RunID: id, Billed: billed}, &wire.Empty{}); err != nil {
-		e.log.Debug("entry: a charge could not be acknowledged", zap.String("key", id.Key), zap.Error(err))
-	}
-}
-
-// settleLater asks again about an attempt until its agent answers. Where the
-// agent is gone, the ledger settles the grant.
-func (e *Entry) settleLater(n fleet.Node, id wire.RunID, res reservation) {
-	for try := range settleTries {
-		time.Sleep(min(resumePause<<try, settlePause))
-		r, ok := e.resolve(n, id)
-		if !ok || r.Running {
-			continue
-		}
-		if r.OtherLife {
-			break
-		}
-		e.budget.release(res, 0)
-		e.ack(n, id, 0)
-		return
-	}
-	e.budget.abandon(res)
-}
-
-// Limits of asking about an attempt whose agent does not answer.
-const (
-	settleTries = 15
-	settlePause = 2 * time.Second
-)
-
 func (e *Entry) started(id fleet.NodeID) {
 	e.routeMu.Lock()
 	defer e.routeMu.Unlock()
--- a/io/entry/once.go
+++ b/io/entry/once.go
@@ -95,7 +95,7 @@
 		}
 		res = got
 	}
-	d := j.dispatch(ctx, n, attempt, res.parts)
+	d := j.dispatch(ctx, n, attempt, res)
 	d.AttachOnly = join
 	st := newStream(j.e, n, d, s)
 	j.e.started(n.ID)
--- a/io/wire/work.go
+++ b/io/wire/work.go
@@ -19,7 +19,9 @@
 	Key      string
 	Attempt  int
 	// Body digests the request, so that a key can't be used for another one.
-	Body     uint64
+	Body uint64
+	// Payment names the reservation that pays for the run, Parts its grants.
+	Payment  string
 	Parts    []escrow.Part
 	Retried  bool
 	Priority config.Priority
@@ -78,8 +80,8 @@
 	// Digest covers the whole body; Used is the attempt's charge. In an end.
 	Digest uint64
 	Used   escrow.Tokens
-	// Parts are the reservation that the run is charged to.
-	Parts []escrow.Part
+	// Payment names the reservation that the run is charged to.
+	Payment string
 	// Code and Message stand in a refusal or failure. A refusal means that
 	// the attempt did not run at this agent and never will.
 	Code    string
@@ -112,12 +114,23 @@
 	Attempt  int
 }
 
-// AckArgs says that the charge of an attempt was booked.
+// AckArgs asks to book the charge of an attempt.
 type AckArgs struct {
 	RunID
 	Billed escrow.Tokens
 }
 
+// AckReply says at what the charge is booked.
+type AckReply struct {
+	OtherLife bool
+	Billed    escrow.Tokens
+}
+
+// VoidReply says whether a request is not billed at the agent.
+type VoidReply struct {
+	Voided bool
+}
+
 // Resolved says what became of an attempt.
 type Resolved struct {
 	// OtherLife: the agent was restarted since, and knows nothing.
@@ -128,6 +141,8 @@
 	// Expired: it ran, and its answer is no longer kept.
 	Expired bool
 	Used    escrow.Tokens
+	// Payment names the reservation that pays for the run.
+	Payment string
 }
 
 // ReserveArgs asks a holder for tokens on behalf of a borrower.
