--- /dev/null
+++ b/commands/experiment.go
@@ -0,0 +1,114 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"dotterelgap/core/trial"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// experimentFlags are the flags of all experiments.
+type experimentFlags struct {
+	seeds  int
+	first  uint64
+	chart  string
+	policy string
+}
+
+func newExperiment(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap experiment")
+	var f experimentFlags
+	fs.IntVar(&f.seeds, "seeds", 5, "number of runs per policy")
+	fs.Uint64Var(&f.first, "first-seed", 1, "first seed; the others follow it")
+	fs.StringVar(&f.chart, "chart", "", "file for a chart (.svg or .png)")
+	fs.StringVar(&f.policy, "policy", "", "run just the policy with this name")
+	cut := fs.Duration("cut", 30*time.Minute, "length of the partition")
+	deaths := fs.Duration("deaths", 10*time.Minute, "mean time between two deaths of an entry; 0 for none")
+	return &ffcli.Command{
+		Name:       "experiment",
+		ShortUsage: "dotterelgap experiment [flags] budgets",
+		ShortHelp:  "compares policies by seeded runs of the pure machines",
+		LongHelp: help(`
+Compares budget policies on the brief's sizes over a long partition with top-ups
+in it, deaths of entries, and budgets that run out. Prints a Markdown table.
+
+Example:
+  dotterelgap experiment -seeds 5 -chart docs/design/budgets.svg budgets
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 || args[0] != "budgets" {
+				return &UsageError{Message: "say which experiment: budgets"}
+			}
+			s := trial.DefaultSetup()
+			s.CutTo = s.CutFrom + *cut
+			s.DeathEvery = *deaths
+			return t.compareBudgets(s, f)
+		},
+	}
+}
+
+func (t *terminal) compareBudgets(s trial.Setup, f experimentFlags) error {
+	var seeds []uint64
+	for i := range f.seeds {
+		seeds = append(seeds, f.first+uint64(i))
+	}
+	var policies []trial.Named
+	for _, p := range trial.BudgetPolicies() {
+		if f.policy == "" || p.Name == f.policy {
+			policies = append(policies, p)
+		}
+	}
+	if len(policies) == 0 {
+		return &UsageError{Message: fmt.Sprintf("there is no policy %q", f.policy)}
+	}
+	results := trial.Compare(s, policies, seeds)
+	if err := trial.Table(t.out, results); err != nil {
+		return trace.Wrap(err)
+	}
+	if f.chart == "" {
+		return nil
+	}
+	return drawRefusals(f.chart, results)
+}
+
+// drawRefusals draws both rates of false refusals per policy.
+func drawRefusals(file string, results []*trial.Result) error {
+	p := plot.New()
+	p.Title.Text = "False refusals, % of requests"
+	p.X.Min = 0
+	var side, fleet plotter.Values
+	var names []string
+	for i := len(results) - 1; i >= 0; i-- {
+		r := results[i]
+		side = append(side, 100*r.SideRate())
+		fleet = append(fleet, 100*r.FleetRate())
+		names = append(names, r.Policy)
+	}
+	width := vg.Points(7)
+	a, err := plotter.NewBarChart(side, width)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	b, err := plotter.NewBarChart(fleet, width)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	a.Horizontal, b.Horizontal = true, true
+	a.Offset, b.Offset = width/2, -width/2
+	b.Color = plotter.DefaultLineStyle.Color
+	p.Add(a, b)
+	p.Legend.Add("caller's side of the cut", a)
+	p.Legend.Add("whole fleet", b)
+	p.Legend.Top = true
+	p.NominalY(names...)
+	return trace.Wrap(p.Save(20*vg.Centimeter, 12*vg.Centimeter, file))
+}
--- a/commands/root.go
+++ b/commands/root.go
@@ -59,7 +59,7 @@
 		Subcommands: []*ffcli.Command{
 			newEntry(t), newAgent(t), newControl(t), newDev(t),
 			newCheck(t), newDiff(t), newApply(t), newPromote(t), newTopUp(t), newCustomer(t),
-			newStatus(t), newDrain(t), newReplace(t), newWriteOff(t), newOrder(t), newKeygen(t), newStandIn(t), newVersion(t),
+			newStatus(t), newDrain(t), newReplace(t), newWriteOff(t), newOrder(t), newKeygen(t), newStandIn(t), newExperiment(t), newVersion(t),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- /dev/null
+++ b/core/raft/group_test.go
@@ -0,0 +1,264 @@
+package raft_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dotterelgap/core/raft"
+)
+
+const tick = 50 * time.Millisecond
+
+// host is a member with a disk on which only what was persisted lasts.
+type host struct {
+	id      raft.MemberID
+	machine *raft.Machine
+	saved   raft.Saved
+	applied [][]byte
+	base    uint64 // applied[0] is at base+1
+	up      bool
+	frozen  bool
+	lost    bool
+	// starts varies the election times of each life.
+	starts uint64
+}
+
+// group is members over a network that loses, repeats, reorders and cuts.
+type group struct {
+	now      time.Time
+	hosts    []*host
+	net      []raft.Message
+	cut      map[[2]raft.MemberID]bool
+	history  map[uint64][]byte        // the one history: what was applied at each index
+	leaders  map[uint64]raft.MemberID // per term
+	reads    map[uint64]uint64        // read id -> index that it must reach
+	acked    uint64                   // highest index that some host has applied
+	versions map[raft.MemberID]uint64 // highest index answered per reader
+	serial   uint64
+	fail     func(format string, args ...any)
+}
+
+func newGroup(n int, fail func(string, ...any)) *group {
+	g := &group{
+		now: time.Unix(1_000_000, 0), cut: map[[2]raft.MemberID]bool{}, history: map[uint64][]byte{},
+		leaders: map[uint64]raft.MemberID{}, reads: map[uint64]uint64{}, versions: map[raft.MemberID]uint64{}, fail: fail,
+	}
+	var ms raft.Membership
+	for i := range n {
+		ms = ms.With(raft.Member{ID: raft.MemberID(i + 1), Voter: true})
+	}
+	for _, m := range ms.Members {
+		h := &host{id: m.ID, saved: raft.Saved{Snapshot: raft.Snapshot{Index: 1, Term: 1, Members: ms}}, base: 1}
+		g.hosts = append(g.hosts, h)
+		g.start(h)
+	}
+	g.serial = uint64(n)
+	g.acked = 1
+	return g
+}
+
+func (g *group) start(h *host) {
+	h.starts++
+	h.up, h.frozen = true, false
+	h.applied = nil
+	h.base = h.saved.Snapshot.Index
+	saved := h.saved
+	saved.Entries = slices.Clone(saved.Entries)
+	h.machine = raft.New(raft.Params{
+		Self: h.id, Saved: saved, Now: g.now, Election: 300 * time.Millisecond,
+		Rand: rand.New(rand.NewPCG(uint64(h.id), h.starts)),
+	})
+}
+
+// crash drops what was not persisted.
+func (g *group) crash(h *host) {
+	h.up = false
+}
+
+// loseDisk makes a host's folder empty: what comes back is a new member.
+func (g *group) loseDisk(h *host) {
+	h.up, h.lost = false, true
+	g.serial++
+	fresh := &host{id: raft.MemberID(g.serial)}
+	g.hosts = append(g.hosts, fresh)
+	g.start(fresh)
+}
+
+// do feeds an input and carries out the output, in the driver's order.
+func (g *group) do(h *host, input func(m *raft.Machine)) {
+	if !h.up || h.frozen {
+		return
+	}
+	input(h.machine)
+	for {
+		out := h.machine.Take()
+		if out.Empty() {
+			break
+		}
+		g.persist(h, out)
+		h.machine.Stable(g.now, h.machine.LastIndex())
+		g.net = append(g.net, out.Messages...)
+		g.apply(h, out)
+	}
+	if s := h.machine.Status(); s.Role == raft.Leader {
+		if other, ok := g.leaders[s.Term]; ok && other != h.id {
+			g.fail("term %d has two leaders: %d and %d", s.Term, other, h.id)
+		}
+		g.leaders[s.Term] = h.id
+	}
+}
+
+func (g *group) persist(h *host, out raft.Output) {
+	if out.State != nil {
+		h.saved.State = *out.State
+	}
+	if out.Installed != nil {
+		h.saved.Snapshot = *out.Installed
+		h.saved.Entries = h.machine.Tail()
+		h.applied, h.base = nil, out.Installed.Index
+		g.checkSnapshot(*out.Installed)
+		return
+	}
+	if len(out.Entries) == 0 {
+		return
+	}
+	at := out.Entries[0].Index - h.saved.Snapshot.Index - 1
+	h.saved.Entries = append(slices.Clone(h.saved.Entries[:at]), out.Entries...)
+}
+
+// checkSnapshot compares a snapshot, the digest of all before it, with history.
+func (g *group) checkSnapshot(s raft.Snapshot) {
+	if s.Index > 1 && string(s.Data) != g.digest(s.Index) {
+		g.fail("a snapshot at %d differs from the history", s.Index)
+	}
+}
+
+func (g *group) digest(index uint64) string {
+	return fmt.Sprintf("%d:%s", index, g.history[index])
+}
+
+func (g *group) apply(h *host, out raft.Output) {
+	for _, e := range out.Committed {
+		data := append([]byte{byte(e.Kind)}, e.Data...)
+		if known, ok := g.history[e.Index]; ok && !bytes.Equal(known, data) {
+			g.fail("index %d was applied as %q and as %q", e.Index, known, data)
+		}
+		if want := h.base + uint64(len(h.applied)) + 1; e.Index != want {
+			g.fail("host %d applied %d after %d", h.id, e.Index, want-1)
+		}
+		g.history[e.Index] = data
+		h.applied = append(h.applied, data)
+		g.acked = max(g.acked, e.Index)
+	}
+	for _, r := range out.Reads {
+		if r.OK && r.Index < g.reads[r.ID] {
+			g.fail("read %d was served at %d, %d had been acknowledged before it", r.ID, r.Index, g.reads[r.ID])
+		}
+	}
+}
+
+func (g *group) deliver(i int, keep bool) {
+	msg := g.net[i]
+	if !keep {
+		g.net = slices.Delete(g.net, i, i+1)
+	}
+	if g.cut[[2]raft.MemberID{msg.From, msg.To}] {
+		return
+	}
+	for _, h := range g.hosts {
+		if h.id == msg.To {
+			g.do(h, func(m *raft.Machine) { m.Step(g.now, msg) })
+		}
+	}
+}
+
+func (g *group) tick(d time.Duration) {
+	g.now = g.now.Add(d)
+	for _, h := range g.hosts {
+		g.do(h, func(m *raft.Machine) { m.Tick(g.now) })
+	}
+}
+
+// settle lets time pass in a network without faults.
+func (g *group) settle(rounds int) {
+	for range rounds {
+		g.tick(tick)
+		for n := len(g.net); n > 0; n-- {
+			g.deliver(0, false)
+		}
+	}
+}
+
+// leader is a host that believes to lead, the one of the highest term.
+func (g *group) leader() *host {
+	var best *host
+	for _, h := range g.hosts {
+		if !h.up || h.frozen || h.machine.Status().Role != raft.Leader {
+			continue
+		}
+		if best == nil || h.machine.Status().Term > best.machine.Status().Term {
+			best = h
+		}
+	}
+	return best
+}
+
+// mayLose tells whether a majority's disks survive the loss of one more, by the
+// leader's membership, which must be settled.
+func (g *group) mayLose(victim *host) bool {
+	l := g.leader()
+	if l == nil || l == victim {
+		return false
+	}
+	s := l.machine.Status()
+	if !s.Members.IsVoter(victim.id) {
+		return true
+	}
+	left := 0
+	for _, h := range g.hosts {
+		if !h.lost && h != victim && s.Members.IsVoter(h.id) {
+			left++
+		}
+	}
+	return left >= s.Members.Quorum() && g.settledMembers(s)
+}
+
+// settledMembers tells whether all logs agree on the leader's membership.
+func (g *group) settledMembers(s raft.Status) bool {
+	for _, h := range g.hosts {
+		if h.lost || !s.Members.IsVoter(h.id) {
+			continue
+		}
+		if !slices.Equal(h.machine.Status().Members.Members, s.Members.Members) {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *group) propose(h *host) {
+	g.serial++
+	data := fmt.Appendf(nil, "c%d", g.serial)
+	g.do(h, func(m *raft.Machine) { _, _, _ = m.Propose(g.now, data) })
+}
+
+func (g *group) read(h *host) {
+	g.serial++
+	id := g.serial
+	g.reads[id] = g.acked
+	g.do(h, func(m *raft.Machine) { _ = m.Read(g.now, id) })
+}
+
+func (g *group) compact(h *host) {
+	if !h.up || h.frozen || len(h.applied) < 2 {
+		return
+	}
+	index := h.base + uint64(len(h.applied))
+	snap := h.machine.Compact(index, []byte(g.digest(index)))
+	h.saved.Snapshot = snap
+	h.saved.Entries = h.machine.Tail()
+	h.applied, h.base = nil, index
+}
--- /dev/null
+++ b/core/trial/compare.go
@@ -0,0 +1,79 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"dotterelgap/core/escrow"
+)
+
+// Named is a policy with its name in tables.
+type Named struct {
+	Name string
+	Make NewPolicy
+}
+
+// BudgetPolicies lists the policies that are weighed.
+func BudgetPolicies() []Named {
+	opts := escrow.DefaultOptions()
+	with := func(change func(*EscrowOptions)) NewPolicy {
+		o := EscrowOptions{Options: opts}
+		change(&o)
+		return NewEscrowWith(o)
+	}
+	return []Named{
+		{"clairvoyant floor", NewClairvoyant},
+		{"escrow (chosen)", NewEscrow},
+		{"escrow, no takeover", with(func(o *EscrowOptions) { o.NoTakeover = true })},
+		{"escrow, no other places", with(func(o *EscrowOptions) { o.NoPeers = true })},
+		{"escrow, holder per entry", with(func(o *EscrowOptions) { o.PerEntry = true })},
+		{"escrow, dead grants burned", with(func(o *EscrowOptions) { o.Burn = true; o.NoTakeover = true })},
+		{"escrow, wait up to 10 s", with(func(o *EscrowOptions) { o.Options.WaitLimit = 10 * time.Second })},
+		{"escrow, no wait", with(func(o *EscrowOptions) { o.Options.WaitLimit = 20 * time.Millisecond })},
+		{"static split", NewStatic},
+		{"central check", NewCentral},
+		{"timed leases", NewLeases},
+		{"timed leases, careful", NewCarefulLeases},
+		{"serve unchecked when cut off", NewOpen},
+	}
+}
+
+// Compare runs all policies over seeds and adds up their results.
+func Compare(s Setup, policies []Named, seeds []uint64) []*Result {
+	var out []*Result
+	for _, p := range policies {
+		sum := newResult(p.Name)
+		for _, seed := range seeds {
+			sum.Add(Run(s, p.Name, p.Make, seed))
+		}
+		out = append(out, sum)
+	}
+	return out
+}
+
+// Table writes results as a Markdown table.
+func Table(w io.Writer, results []*Result) error {
+	_, err := fmt.Fprintln(w, "| policy | overspend | false refusals, caller's side | false refusals, whole fleet | tokens refused wrongly (side / fleet) | control calls per request | wait p50 / p99 | dead entry's rest back, p50 / max | locked at the end |\n"+
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	if err != nil {
+		return err
+	}
+	for _, r := range results {
+		_, err := fmt.Fprintf(w, "| %s | %d | %.4f%% | %.4f%% | %d / %d | 1 in %s | %.1f / %.1f ms | %.1f / %.1f s | %d |\n",
+			r.Policy, r.Overspend, 100*r.SideRate(), 100*r.FleetRate(), r.FalseSideTokens, r.FalseFleetTokens, perCall(r),
+			float64(r.Wait.ValueAtQuantile(50))/1000, float64(r.Wait.ValueAtQuantile(99))/1000,
+			float64(r.Settle.ValueAtQuantile(50))/1000, float64(r.Settle.Max())/1000, r.Locked)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func perCall(r *Result) string {
+	if r.Calls == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", 1/r.CallsPerRequest())
+}
--- /dev/null
+++ b/core/trial/escrow.go
@@ -0,0 +1,340 @@
+package trial
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/ledger"
+)
+
+// Times of the escrow policy's messages and duties.
+const (
+	peerTrip     = time.Millisecond
+	claimTrip    = time.Millisecond
+	holderTick   = 50 * time.Millisecond
+	beatTime     = 500 * time.Millisecond
+	suspectAfter = 2 * time.Second
+)
+
+// EscrowOptions switch parts of the policy off, to see what each is worth.
+type EscrowOptions struct {
+	// PerEntry lets each entry hold for itself; else one entry of the place
+	// holds for a customer and the others borrow.
+	PerEntry bool
+	// NoTakeover leaves a dead holder's rest until control settles it.
+	NoTakeover bool
+	// NoPeers keeps entries from asking holders in other places.
+	NoPeers bool
+	// Burn bills the whole grant of a dead holder.
+	Burn    bool
+	Options escrow.Options
+}
+
+// Escrow runs the machines that the processes run: ledger, holders, witnesses
+// and meters.
+type Escrow struct {
+	w       *World
+	opts    EscrowOptions
+	ledger  *ledger.Ledger
+	entries []*escrowEntry
+	agents  []*escrowAgent
+	// jobs are the reservations by request.
+	jobs map[int]*escrowJob
+}
+
+type escrowEntry struct {
+	slot    int
+	id      fleet.NodeID
+	life    int
+	place   int
+	holder  *escrow.Holder
+	waiting map[string]func(escrow.Verdict)
+}
+
+type escrowAgent struct {
+	id      fleet.NodeID
+	place   int
+	meter   *escrow.Meter
+	witness *escrow.Witness
+}
+
+// escrowJob is a request in flight.
+type escrowJob struct {
+	entry  *escrowEntry
+	life   int
+	holder *escrowEntry
+	id     string
+	agent  *escrowAgent
+}
+
+// NewEscrow runs the policy as the processes run it.
+func NewEscrow(w *World) Policy {
+	return NewEscrowWith(EscrowOptions{Options: escrow.DefaultOptions()})(w)
+}
+
+// NewEscrowWith runs the policy with some parts switched off.
+func NewEscrowWith(opts EscrowOptions) NewPolicy {
+	return func(w *World) Policy {
+		p := &Escrow{w: w, opts: opts, ledger: ledger.New(), jobs: map[int]*escrowJob{}}
+		p.addAgents()
+		for e := range w.Down {
+			p.entries = append(p.entries, &escrowEntry{slot: e, place: w.Place(e)})
+			p.Back(e)
+		}
+		for c, n := range w.paid {
+			p.ledger.Create(w.Setup.Customers[c].Name)
+			p.TopUp(c, n)
+		}
+		w.Every(holderTick, p.tick)
+		w.Every(beatTime, p.beat)
+		return p
+	}
+}
+
+func (p *Escrow) addAgents() {
+	for i := range p.w.Setup.Agents {
+		a := &escrowAgent{id: fleet.NodeID(fmt.Sprintf("agent-%02d", i)), place: i % p.w.Setup.Places}
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1))
+		p.ledger.Join(fleet.Node{ID: a.id, Role: fleet.RoleAgent, Place: placeName(a.place), Addr: addr})
+		a.meter = escrow.NewMeter(a.id, 1)
+		a.witness = escrow.NewWitness(a.id)
+		p.agents = append(p.agents, a)
+	}
+}
+
+func placeName(i int) fleet.Place { return fleet.Place(fmt.Sprintf("place-%d", i)) }
+
+// Back implements Policy: the entry starts anew with nothing.
+func (p *Escrow) Back(slot int) {
+	e := p.entries[slot]
+	e.life++
+	e.id = fleet.NodeID(fmt.Sprintf("entry-%d-%d", slot, e.life))
+	e.holder = escrow.NewHolder(e.id, placeName(e.place), p.opts.Options)
+	e.waiting = map[string]func(escrow.Verdict){}
+}
+
+// Died implements Policy. Control suspects the entry after a while; the callers
+// whose streams it had come again, and their work is booked by the agents.
+func (p *Escrow) Died(slot int) {
+	e := p.entries[slot]
+	dead, died := e.id, p.w.Now
+	e.life++
+	for _, other := range p.entries {
+		if other != e && other.place == e.place {
+			p.w.After(suspectAfter, func() {
+				p.act(other, func(now time.Time, fx *escrow.Effects) { other.holder.BorrowerLost(now, dead, fx) })
+			})
+		}
+	}
+	p.w.After(suspectAfter, func() { p.settleDead(dead, died) })
+}
+
+func (p *Escrow) settleDead(dead fleet.NodeID, died time.Time) {
+	if !p.opts.Burn {
+		ids := p.ledger.HeldBy(dead)
+		p.ledger.Settle(ids)
+		p.watch(ids, died)
+		return
+	}
+	for _, id := range p.ledger.HeldBy(dead) {
+		g := p.ledger.Grants[id]
+		p.ledger.Close(escrow.Close{Grant: id, Holder: g.Grant.Holder, Spent: g.Outstanding, Final: true})
+	}
+}
+
+// watch records when the unused rest of a dead entry's grants is back.
+func (p *Escrow) watch(ids []escrow.GrantID, died time.Time) {
+	open := slices.ContainsFunc(ids, func(id escrow.GrantID) bool {
+		g, ok := p.ledger.Grants[id]
+		return ok && g.Outstanding > 0 && g.Outstanding == g.Grant.Amount
+	})
+	if open {
+		p.w.After(holderTick, func() { p.watch(ids, died) })
+		return
+	}
+	if len(ids) > 0 {
+		_ = p.w.Result.Settle.RecordValue(p.w.Now.Sub(died).Milliseconds())
+	}
+}
+
+// TopUp implements Policy.
+func (p *Escrow) TopUp(c int, n escrow.Tokens) {
+	t := ledger.TopUp{ID: fmt.Sprintf("%d-%d", c, p.w.Now.UnixNano()), Customer: p.w.Setup.Customers[c].Name, Tokens: n}
+	if err := p.ledger.TopUp(t); err != nil {
+		panic(err)
+	}
+}
+
+// Locked implements Policy.
+func (p *Escrow) Locked() escrow.Tokens {
+	var sum escrow.Tokens
+	for _, g := range p.ledger.Grants {
+		if g.Settling {
+			sum += g.Outstanding
+		}
+	}
+	return sum
+}
+
+func (p *Escrow) up(e *escrowEntry) bool { return !p.w.Down[e.slot] }
+
+// act feeds an input to an entry's holder and carries its messages.
+func (p *Escrow) act(e *escrowEntry, f func(now time.Time, fx *escrow.Effects)) {
+	if !p.up(e) {
+		return
+	}
+	var fx escrow.Effects
+	f(p.w.Now, &fx)
+	life := e.life
+	later := func(d time.Duration, g func(now time.Time, fx *escrow.Effects)) {
+		p.w.After(d, func() {
+			if e.life == life {
+				p.act(e, g)
+			}
+		})
+	}
+	for _, v := range fx.Verdicts {
+		if done, ok := e.waiting[v.ID]; ok {
+			delete(e.waiting, v.ID)
+			done(v)
+		}
+	}
+	for _, c := range fx.Claims {
+		p.claim(e, c, later)
+	}
+	p.toLedger(e, fx, later)
+	for _, c := range fx.Searches {
+		p.search(e, c, later)
+	}
+}
+
+type laterFunc func(d time.Duration, g func(now time.Time, fx *escrow.Effects))
+
+func (p *Escrow) claim(e *escrowEntry, c escrow.Claim, later laterFunc) {
+	i := slices.IndexFunc(p.agents, func(a *escrowAgent) bool { return a.id == c.Witness })
+	if !p.w.Reach(e.place, p.agents[i].place) {
+		return
+	}
+	reply := p.agents[i].witness.Claim(c)
+	later(claimTrip, func(now time.Time, fx *escrow.Effects) { e.holder.OnClaim(now, reply, fx) })
+}
+
+func (p *Escrow) toLedger(e *escrowEntry, fx escrow.Effects, later laterFunc) {
+	if len(fx.Refills)+len(fx.Spends)+len(fx.Closes) == 0 {
+		return
+	}
+	if !p.w.Control(e.place) {
+		p.ledgerAway(e, fx, later)
+		return
+	}
+	p.w.Call()
+	for _, s := range fx.Spends {
+		p.ledger.Spend(s)
+	}
+	for _, c := range fx.Closes {
+		p.ledger.Close(c)
+	}
+	for _, r := range fx.Refills {
+		answer := p.ledger.Open(r)
+		p.recall(answer.Recalls)
+		later(controlTrip, func(now time.Time, fx *escrow.Effects) {
+			if answer.Grant != nil {
+				e.holder.AddGrant(now, answer.Seq, *answer.Grant, fx)
+				return
+			}
+			e.holder.Deny(now, *answer.Denial, fx)
+		})
+	}
+}
+
+// ledgerAway lets refills fail after their timeout and sends closes later.
+func (p *Escrow) ledgerAway(e *escrowEntry, fx escrow.Effects, later laterFunc) {
+	for _, r := range fx.Refills {
+		later(time.Second, func(now time.Time, fx *escrow.Effects) { e.holder.RefillFailed(now, r.Customer, fx) })
+	}
+	if len(fx.Closes) == 0 {
+		return
+	}
+	closes := slices.Clone(fx.Closes)
+	later(2*time.Second, func(_ time.Time, fx *escrow.Effects) { fx.Closes = append(fx.Closes, closes...) })
+}
+
+// recall reaches the holders with their next beat.
+func (p *Escrow) recall(ids []escrow.GrantID) {
+	for _, id := range ids {
+		g, ok := p.ledger.Grants[id]
+		if !ok {
+			continue
+		}
+		for _, e := range p.entries {
+			if e.id == g.Grant.Holder && p.w.Control(e.place) {
+				p.w.After(beatTime/2, func() {
+					p.act(e, func(now time.Time, fx *escrow.Effects) { e.holder.Recall(now, id, fx) })
+				})
+			}
+		}
+	}
+}
+
+// search takes over what dead holders left at the agents of the place.
+func (p *Escrow) search(e *escrowEntry, customer string, later laterFunc) {
+	if p.opts.NoTakeover {
+		return
+	}
+	for _, a := range p.agents {
+		if a.place != e.place {
+			continue
+		}
+		for _, g := range a.witness.Grants(customer, placeName(e.place)) {
+			if p.holderUp(g.Holder) {
+				continue
+			}
+			later(claimTrip, func(now time.Time, fx *escrow.Effects) { e.holder.TakeOver(now, g, fx) })
+		}
+	}
+}
+
+func (p *Escrow) holderUp(id fleet.NodeID) bool {
+	return slices.ContainsFunc(p.entries, func(e *escrowEntry) bool { return e.id == id && p.up(e) })
+}
+
+func (p *Escrow) tick() {
+	for _, e := range p.entries {
+		p.act(e, func(now time.Time, fx *escrow.Effects) { e.holder.Tick(now, fx) })
+	}
+}
+
+// beat carries fences to the agents that control reaches, and settles.
+func (p *Escrow) beat() {
+	settling := p.ledger.Settling()
+	for _, g := range settling {
+		reports := map[fleet.NodeID]escrow.Report{}
+		for _, a := range p.agents {
+			if p.w.Control(a.place) {
+				reports[a.id] = a.fence(g)
+			}
+		}
+		if step, ok := p.ledger.Assess(g.ID, reports); ok {
+			p.ledger.Advance(step)
+		}
+	}
+	floor := p.ledger.Floor()
+	for _, a := range p.agents {
+		if p.w.Control(a.place) {
+			a.meter.SetFloor(floor)
+			a.witness.SetFloor(floor)
+		}
+	}
+}
+
+func (a *escrowAgent) fence(g escrow.Grant) escrow.Report {
+	r := a.meter.Fence(g.ID)
+	if slices.Contains(g.Witnesses, a.id) {
+		r.Witness, r.Watermark = true, a.witness.Fence(g)
+	}
+	return r
+}
--- /dev/null
+++ b/core/trial/loop.go
@@ -0,0 +1,72 @@
+package trial
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// Loop runs events in the order of their times.
+type Loop struct {
+	Now    time.Time
+	Rand   *rand.Rand
+	events eventHeap
+	serial uint64
+}
+
+// NewLoop returns a loop at a fixed time.
+func NewLoop(seed uint64) *Loop {
+	return &Loop{Now: time.Unix(1_000_000, 0), Rand: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// After runs f once d has passed.
+func (l *Loop) After(d time.Duration, f func()) {
+	l.serial++
+	heap.Push(&l.events, event{at: l.Now.Add(d), serial: l.serial, run: f})
+}
+
+// Every runs f again and again.
+func (l *Loop) Every(d time.Duration, f func()) {
+	l.After(d, func() {
+		f()
+		l.Every(d, f)
+	})
+}
+
+// Until runs all events before a time.
+func (l *Loop) Until(end time.Time) {
+	for len(l.events) > 0 && l.events[0].at.Before(end) {
+		e := heap.Pop(&l.events).(event)
+		l.Now = e.at
+		e.run()
+	}
+	l.Now = end
+}
+
+type event struct {
+	at     time.Time
+	serial uint64
+	run    func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].serial < h[j].serial
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
