Ask holders in the place first, share budgets by demand, recall and hint

Cause of wrong refusals, by traces of the experiment: grants were shared out of what was free instead of all that is unspent; requests waited for the sum of all that wait; holders across a cut were recalled in vain; a borrower's death closed whole grants; a new home entry could not reach its neighbour's grants.

Change: fair shares of the pool, rebalancing recalls, hints of new funds, small slices by demand, loans of a dead borrower stay locked instead of closing the grant, holders of the place are asked for what they have at hand. Also mended: a charge that was settled and dropped counted as not billed.

--- a/commands/experiment.go
+++ b/commands/experiment.go
@@ -30,6 +30,7 @@
 	fs.StringVar(&f.chart, "chart", "", "file for a chart (.svg or .png)")
 	fs.StringVar(&f.policy, "policy", "", "run just the policy with this name")
 	cut := fs.Duration("cut", 30*time.Minute, "length of the partition")
+	ample := fs.Bool("ample", false, "give every customer more than it needs, for steady use")
 	deaths := fs.Duration("deaths", 10*time.Minute, "mean time between two deaths of an entry; 0 for none")
 	return &ffcli.Command{
 		Name:       "experiment",
@@ -51,6 +52,9 @@
 			s := trial.DefaultSetup()
 			s.CutTo = s.CutFrom + *cut
 			s.DeathEvery = *deaths
+			if *ample {
+				s = s.Ample()
+			}
 			return t.compareBudgets(s, f)
 		},
 	}
--- a/core/escrow/effects.go
+++ b/core/escrow/effects.go
@@ -13,6 +13,9 @@
 	Worst    Tokens
 	// Borrower is the entry that will dispatch, if it is not the holder.
 	Borrower fleet.NodeID
+	// NoWait refuses at once what the holder's grants don't cover, so that the
+	// other holders can be asked first.
+	NoWait bool
 }
 
 // Reason says why a request was refused.
@@ -24,6 +27,9 @@
 	ReasonExhausted Reason = "budget_exhausted"
 	// ReasonUnreachable: more tokens may exist but could not be had in time.
 	ReasonUnreachable Reason = "budget_unreachable"
+	// ReasonUnfilled: nothing is at hand, and the control group was not asked
+	// yet. It answers a request that does not wait.
+	ReasonUnfilled Reason = "budget_unfilled"
 )
 
 // Verdict answers a Request. Parts is empty where it was refused.
@@ -47,8 +53,11 @@
 	Rate float64 `cbor:"rate" json:"rate"`
 	// Have is what the holder could still reserve.
 	Have Tokens `cbor:"have" json:"have"`
-	// Need is what waiting requests lack now.
+	// Need is what the smallest waiting request lacks, Want what all lack.
 	Need Tokens `cbor:"need" json:"need"`
+	Want Tokens `cbor:"want" json:"want"`
+	// Away lists holders that the control group can't reach; its leader sets it.
+	Away []fleet.NodeID `cbor:"away" json:"away"`
 	// Horizon is the time to stock for, in seconds.
 	Horizon float64 `cbor:"horizon" json:"horizon"`
 }
@@ -97,6 +106,8 @@
 type Denial struct {
 	Customer string `cbor:"customer"`
 	Seq      uint64 `cbor:"seq"`
+	// Free is what could have been granted, if less had been needed.
+	Free Tokens `cbor:"free"`
 	// Recalling is set while other holders are asked to give tokens back.
 	Recalling bool `cbor:"recalling"`
 }
--- a/core/escrow/held.go
+++ b/core/escrow/held.go
@@ -15,6 +15,9 @@
 	claimed  Tokens
 	spent    Tokens
 	reserved Tokens
+	// stuck is the part of reserved whose use only the agents know.
+	stuck Tokens
+	since time.Time
 	// preparing is set until a majority promised a successor's ballot.
 	preparing bool
 	// lost is set once a higher ballot was seen: nothing more can be claimed.
@@ -59,14 +62,16 @@
 	return h.grant.Amount - h.base - h.spent - h.reserved
 }
 
-// slice is the amount that is claimed at a time.
-func (h *held) slice(divisor Tokens) Tokens {
-	return max(h.grant.Amount/max(divisor, 1), 1)
+// slice is the amount that is claimed at a time: enough for a while of the
+// demand, since a holder's death locks what it had claimed.
+func (h *held) slice(perSecond float64, opts Options) Tokens {
+	demand := Tokens(perSecond * opts.SliceTime.Seconds())
+	return max(min(demand, h.grant.Amount/opts.SliceDivisor), 1)
 }
 
 // done tells whether nothing of the grant is left to use or to wait for.
 func (h *held) done() bool {
-	if h.reserved > 0 || h.preparing {
+	if h.reserved > h.stuck || h.preparing {
 		return false
 	}
 	if h.closing {
--- a/core/escrow/holder.go
+++ b/core/escrow/holder.go
@@ -19,6 +19,7 @@
 	grants       map[GrantID]*held
 	reservations map[string]*reservation
 	draining     bool
+	reportedAt   time.Time
 }
 
 type reservation struct {
@@ -51,7 +52,14 @@
 		fx.Verdicts = append(fx.Verdicts, Verdict{ID: req.ID, Reason: ReasonUnreachable})
 		return
 	}
+	if req.NoWait && p.ahead()-p.wanted() < req.Worst {
+		fx.Verdicts = append(fx.Verdicts, Verdict{ID: req.ID, Reason: p.reasonAtHand()})
+		return
+	}
 	p.waiting = append(p.waiting, waiting{req: req, deadline: now.Add(h.opts.WaitLimit)})
+	if p.denied && req.Worst <= p.deniedFree {
+		p.nextRefill = now
+	}
 	h.serve(now, p, fx)
 }
 
@@ -122,8 +130,21 @@
 	}
 	p.answered(now)
 	p.denied = true
+	p.deniedFree = d.Free
 	p.recalling = d.Recalling
-	p.nextRefill = now.Add(h.opts.RefillInterval)
+	p.nextRefill = now.Add(h.opts.AskAgain)
+	h.serve(now, p, fx)
+}
+
+// Funded says that the ledger has more for a customer than when it denied.
+func (h *Holder) Funded(now time.Time, customer string, fx *Effects) {
+	p, ok := h.purses[customer]
+	if !ok || !p.denied {
+		return
+	}
+	p.denied = false
+	p.recalling = false
+	p.nextRefill = now
 	h.serve(now, p, fx)
 }
 
@@ -154,7 +175,7 @@
 // another place can have their rest. The newest demand keeps what it needs.
 func (h *Holder) Recall(now time.Time, id GrantID, fx *Effects) {
 	g, ok := h.grants[id]
-	if !ok {
+	if !ok || now.Sub(g.since) < h.opts.RecallHold {
 		return
 	}
 	g.close(now, fx)
@@ -193,7 +214,8 @@
 }
 
 // Abandon gives up on a reservation whose use can't be found out here. Its
-// grants are closed and settled by the ledger from the agents' reports.
+// tokens stay locked until its grants end, which the ledger then settles from
+// the agents' reports.
 func (h *Holder) Abandon(now time.Time, id string, fx *Effects) {
 	r, ok := h.reservations[id]
 	if !ok {
@@ -202,9 +224,8 @@
 	delete(h.reservations, id)
 	for _, part := range r.parts {
 		g := h.grants[part.Grant]
-		g.reserved -= part.Amount
+		g.stuck += part.Amount
 		g.shared = true
-		g.close(now, fx)
 	}
 	h.closeDone(h.purse(r.customer, now), fx)
 }
@@ -225,6 +246,10 @@
 // Tick retries claims and refills, ends waits and reports spends. Calling it
 // every 50 ms to 1 s is enough.
 func (h *Holder) Tick(now time.Time, fx *Effects) {
+	regular := now.Sub(h.reportedAt) >= h.opts.ReportInterval || now.Before(h.reportedAt)
+	if regular {
+		h.reportedAt = now
+	}
 	for _, c := range slices.Sorted(maps.Keys(h.purses)) {
 		p := h.purses[c]
 		for _, g := range p.grants {
@@ -232,7 +257,9 @@
 		}
 		h.serve(now, p, fx)
 		h.expire(now, p, fx)
-		h.report(now, p, fx)
+		if regular {
+			h.report(now, p, fx)
+		}
 		h.closeDone(p, fx)
 	}
 }
@@ -261,7 +288,7 @@
 	}
 	p.waiting = kept
 	p.claimMore(now, h.opts, fx)
-	h.refill(now, p, fx)
+	h.refill(now, p, false, fx)
 	h.refuseHopeless(p, fx)
 }
 
@@ -291,24 +318,21 @@
 	})
 }
 
-func (h *Holder) refill(now time.Time, p *purse, fx *Effects) {
+func (h *Holder) refill(now time.Time, p *purse, regular bool, fx *Effects) {
 	if h.draining || p.asking || now.Before(p.nextRefill) {
 		return
 	}
 	have := p.ahead()
-	need := max(p.wanted()-have, 0)
+	need := p.lacks(have)
 	rate := p.rate.perSecond(now)
 	stock := Tokens(math.Ceil(rate * h.opts.Horizon.Seconds()))
-	if need == 0 && !p.low(have, stock, h.opts.RefillBelow) {
-		return
-	}
-	if need == 0 && p.denied && now.Before(p.nextRefill.Add(h.opts.ReportInterval)) {
+	if need == 0 && (p.denied || !p.low(have, stock, h.opts.RefillBelow, regular)) {
 		return
 	}
 	p.asking = true
 	fx.Refills = append(fx.Refills, Refill{
 		Holder: h.self, Place: h.place, Customer: p.customer, Seq: p.seq, Latest: p.latest,
-		Rate: rate, Have: have, Need: need, Horizon: h.opts.Horizon.Seconds(),
+		Rate: rate, Have: have, Need: need, Want: max(p.wanted()-have, 0), Horizon: h.opts.Horizon.Seconds(),
 	})
 	if p.cutOff && need > 0 {
 		fx.Searches = append(fx.Searches, p.customer)
@@ -316,10 +340,7 @@
 }
 
 func (h *Holder) report(now time.Time, p *purse, fx *Effects) {
-	if now.Sub(p.reportedAt) < h.opts.ReportInterval {
-		return
-	}
-	p.reportedAt = now
+	h.refill(now, p, true, fx)
 	for _, g := range p.grants {
 		if g.spent == g.reported {
 			continue
--- a/core/escrow/meter.go
+++ b/core/escrow/meter.go
@@ -187,11 +187,11 @@
 }
 
 // Fenced tells whether a grant of a charge is fenced: what the charge used is
-// then billed by the ledger.
+// then billed by the ledger. A charge that is gone was settled already.
 func (m *Meter) Fenced(key string, attempt int) bool {
 	c, ok := m.charges[chargeID{key, attempt}]
 	if !ok {
-		return false
+		return true
 	}
 	return slices.ContainsFunc(c.Parts, func(p Part) bool {
 		_, fenced := m.fenced[p.Grant]
--- a/core/escrow/options.go
+++ b/core/escrow/options.go
@@ -14,12 +14,19 @@
 	RefillInterval time.Duration
 	// WaitLimit is how long a request may wait for tokens.
 	WaitLimit time.Duration
-	// SliceDivisor sets the slice that is claimed at a time: amount / divisor.
+	// SliceTime is the demand for which a slice is claimed at a time, and amount
+	// / SliceDivisor is the most that a slice may be.
+	SliceTime    time.Duration
 	SliceDivisor Tokens
+	// RecallHold is how long a new grant is kept although it is recalled.
+	RecallHold time.Duration
 	// RateHalfLife is the half-life of the demand estimate.
 	RateHalfLife time.Duration
-	// ReportInterval is the time between two spend reports of a grant.
+	// ReportInterval is the time between two reports of spent tokens. Stocks are
+	// looked at then too, so that all of it shares one call.
 	ReportInterval time.Duration
+	// AskAgain is the time after which a denied holder asks again unbidden.
+	AskAgain time.Duration
 	// ClaimRetry is the time after which unanswered claims are sent again.
 	ClaimRetry time.Duration
 	// ClaimGiveUp is the time after which claiming at silent witnesses ends.
@@ -33,9 +40,12 @@
 		RefillBelow:    0.75,
 		RefillInterval: 250 * time.Millisecond,
 		WaitLimit:      2 * time.Second,
+		SliceTime:      5 * time.Second,
 		SliceDivisor:   16,
-		RateHalfLife:   2 * time.Minute,
-		ReportInterval: 10 * time.Second,
+		RecallHold:     3 * time.Second,
+		RateHalfLife:   15 * time.Minute,
+		ReportInterval: time.Minute,
+		AskAgain:       10 * time.Second,
 		ClaimRetry:     200 * time.Millisecond,
 		ClaimGiveUp:    time.Second,
 	}
--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -6,28 +6,28 @@
 
 // purse is all that a holder has and awaits for one customer.
 type purse struct {
-	customer   string
-	grants     []*held
-	waiting    []waiting
-	rate       rate
-	seq        uint64
-	latest     GrantID
-	asking     bool
-	denied     bool
+	customer string
+	grants   []*held
+	waiting  []waiting
+	rate     rate
+	seq      uint64
+	latest   GrantID
+	asking   bool
+	denied   bool
+	// deniedFree is what the ledger still had when it denied.
+	deniedFree Tokens
 	recalling  bool
 	cutOff     bool
 	nextRefill time.Time
 	// stocked is what was ahead after the latest grant.
-	stocked    Tokens
-	reportedAt time.Time
+	stocked Tokens
 }
 
 func newPurse(customer string, now time.Time, opts Options) *purse {
 	return &purse{
-		customer:   customer,
-		seq:        1,
-		rate:       rate{halfLife: opts.RateHalfLife, at: now, since: now},
-		reportedAt: now,
+		customer: customer,
+		seq:      1,
+		rate:     rate{halfLife: opts.RateHalfLife, at: now, since: now},
 	}
 }
 
@@ -74,7 +74,7 @@
 		if g.closing || g.preparing || g.lost || g.claimed == g.grant.Amount || g.target > g.claimed {
 			continue
 		}
-		slice := g.slice(opts.SliceDivisor)
+		slice := g.slice(p.rate.perSecond(now), opts)
 		if lack <= 0 && g.free() >= slice/2 {
 			return
 		}
@@ -84,10 +84,15 @@
 	}
 }
 
-// low tells whether it is time to ask for more without a request waiting: the
-// stock is short of the horizon's demand, and well below what it last was.
-func (p *purse) low(have, stock Tokens, below float64) bool {
-	return float64(have) < float64(stock)*below && float64(have) < float64(p.stocked)*below
+// urgentShare is the share of the latest stock under which a holder asks for
+// more without waiting for its next report.
+const urgentShare = 0.25
+
+// low tells whether the stock is short of the horizon's demand: at the regular
+// look at it, or in between if little is left of what it last was.
+func (p *purse) low(have, stock Tokens, below float64, regular bool) bool {
+	short := float64(have) < float64(stock)*below
+	return short && (regular || float64(have) < float64(p.stocked)*urgentShare)
 }
 
 // ahead is what could be reserved for new requests after further claims.
@@ -119,6 +124,26 @@
 	return sum
 }
 
+// lacks is what the smallest waiting request needs beyond what there is.
+func (p *purse) lacks(have Tokens) Tokens {
+	if len(p.waiting) == 0 {
+		return 0
+	}
+	least := p.waiting[0].req.Worst
+	for _, w := range p.waiting {
+		least = min(least, w.req.Worst)
+	}
+	return max(least-have, 0)
+}
+
+// reasonAtHand says why a request that does not wait is refused.
+func (p *purse) reasonAtHand() Reason {
+	if p.denied || p.cutOff {
+		return p.reason()
+	}
+	return ReasonUnfilled
+}
+
 func (p *purse) reason() Reason {
 	if p.denied {
 		return ReasonExhausted
--- a/core/ledger/grants.go
+++ b/core/ledger/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"dotterelgap/core/escrow"
 	"dotterelgap/core/fleet"
@@ -31,10 +32,13 @@
 	}
 	a.Rates[r.Holder] = r.Rate
 	free := l.Free(r.Customer)
-	amount := grantAmount(r, free, a.share(r.Holder))
+	pool := l.pool(r.Customer, free)
+	fair := fairAmount(r, pool, a.share(r.Holder))
+	amount := min(max(fair, r.Want), free)
 	if amount <= 0 || amount < r.Need {
-		return l.deny(r, l.recalls(r))
+		return l.deny(r, append(l.recalls(r), l.rebalance(r, pool, 0, fair)...))
 	}
+	recalls := l.rebalance(r, pool, amount, fair)
 	g := &OpenGrant{
 		Grant: escrow.Grant{
 			ID: l.NextGrant, Customer: r.Customer, Place: r.Place, Holder: r.Holder,
@@ -45,7 +49,7 @@
 	l.NextGrant++
 	l.Grants[g.Grant.ID] = g
 	l.index(g)
-	return Answer{Seq: r.Seq, Grant: &g.Grant}
+	return Answer{Seq: r.Seq, Grant: &g.Grant, Recalls: recalls}
 }
 
 // missed finds a grant that was opened for the holder and never reached it.
@@ -60,7 +64,7 @@
 }
 
 func (l *Ledger) deny(r escrow.Refill, recalls []escrow.GrantID) Answer {
-	d := &escrow.Denial{Customer: r.Customer, Seq: r.Seq, Recalling: len(recalls) > 0}
+	d := &escrow.Denial{Customer: r.Customer, Seq: r.Seq, Free: l.Free(r.Customer), Recalling: r.Need > 0 && len(recalls) > 0}
 	return Answer{Seq: r.Seq, Denial: d, Recalls: recalls}
 }
 
@@ -76,15 +80,48 @@
 	return a.Rates[holder] / sum
 }
 
-// grantAmount stocks a holder for its horizon, at most its share of what is
-// free, and at least what waiting requests need.
-func grantAmount(r escrow.Refill, free escrow.Tokens, share float64) escrow.Tokens {
-	stock := escrow.Tokens(math.Ceil(r.Rate*r.Horizon)) - r.Have
+// pool is all that a customer has not spent, as far as is known.
+func (l *Ledger) pool(customer string, free escrow.Tokens) escrow.Tokens {
+	sum := free
+	for _, id := range l.perOwner[customer] {
+		sum += max(l.Grants[id].rest(), 0)
+	}
+	return sum
+}
+
+// fairAmount stocks a holder for its horizon, at most its share of the pool.
+func fairAmount(r escrow.Refill, pool escrow.Tokens, share float64) escrow.Tokens {
+	stock := escrow.Tokens(math.Ceil(r.Rate * r.Horizon))
 	if r.Rate == 0 {
-		stock = free / firstShare
+		stock = pool / firstShare
 	}
-	capped := escrow.Tokens(math.Floor(float64(free) * share))
-	return min(max(min(stock, capped), r.Need), free)
+	capped := escrow.Tokens(math.Floor(float64(pool) * share))
+	return max(min(stock, capped)-r.Have, 0)
+}
+
+// overShare is how far above its share a holder may be before it is recalled.
+const overShare = 1.25
+
+// rebalance recalls the grants of holders that have far more than their share,
+// where another can't get its own.
+func (l *Ledger) rebalance(r escrow.Refill, pool, amount, fair escrow.Tokens) []escrow.GrantID {
+	if amount >= fair/2 {
+		return nil
+	}
+	a := l.Accounts[r.Customer]
+	has := map[fleet.NodeID]escrow.Tokens{}
+	for _, id := range l.perOwner[r.Customer] {
+		has[l.Grants[id].Grant.Holder] += l.Grants[id].rest()
+	}
+	var ids []escrow.GrantID
+	for _, id := range l.perOwner[r.Customer] {
+		g := l.Grants[id]
+		h := g.Grant.Holder
+		if h != r.Holder && !g.Settling && !slices.Contains(r.Away, h) && float64(has[h]) > overShare*float64(pool)*a.share(h) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // witnesses picks agents in the holder's place, the same for all processes.
@@ -96,24 +133,24 @@
 	return append([]fleet.NodeID(nil), live...)
 }
 
-// recalls lists other holders' grants if they have enough to matter.
+// recalls lists other holders' grants if what they could give back covers the
+// need. All are recalled: what they have left is known with a lag only.
 func (l *Ledger) recalls(r escrow.Refill) []escrow.GrantID {
 	if r.Need == 0 {
 		return nil
 	}
-	var ids []escrow.GrantID
-	idle := l.Free(r.Customer)
+	var others []*OpenGrant
 	for _, id := range l.perOwner[r.Customer] {
 		g := l.Grants[id]
-		if g.Grant.Holder == r.Holder || g.Settling {
-			continue
+		if g.Grant.Holder != r.Holder && !g.Settling && g.rest() > 0 && !slices.Contains(r.Away, g.Grant.Holder) {
+			others = append(others, g)
 		}
-		rest := g.Outstanding - g.spent()
-		if rest <= 0 {
-			continue
-		}
-		idle += rest
-		ids = append(ids, id)
+	}
+	var ids []escrow.GrantID
+	idle := l.Free(r.Customer)
+	for _, g := range others {
+		idle += g.rest()
+		ids = append(ids, g.Grant.ID)
 	}
 	if idle < r.Need {
 		return nil
@@ -121,6 +158,10 @@
 	return ids
 }
 
+func (g *OpenGrant) rest() escrow.Tokens {
+	return g.Outstanding - g.spent()
+}
+
 func (g *OpenGrant) spent() escrow.Tokens {
 	var sum escrow.Tokens
 	for _, n := range g.Spent {
--- a/core/trial/borrow.go
+++ b/core/trial/borrow.go
@@ -11,34 +11,59 @@
 // maxRetries bounds the tries of a request whose grant was fenced meanwhile.
 const maxRetries = 3
 
-// Reserve implements Policy: at the home entry of the place, else at homes in
-// other places that can be reached.
+// Reserve implements Policy: what some holder has at hand is taken first; else
+// the home entry of the place is asked to get more.
 func (p *Escrow) Reserve(r *Request, done func(bool)) {
 	e := p.entries[r.Entry]
 	p.reserveAt(r, e, p.holders(r, e), done)
 }
 
-// holders lists where to ask, in order.
-func (p *Escrow) holders(r *Request, e *escrowEntry) []*escrowEntry {
+// ask is a holder to ask, at once or with waiting.
+type ask struct {
+	holder *escrowEntry
+	wait   bool
+}
+
+// holders lists where to ask, in order: the place's holders, its home again if
+// that can still ask control, homes in other places, and the home at last.
+func (p *Escrow) holders(r *Request, e *escrowEntry) []ask {
 	if p.opts.PerEntry {
-		return []*escrowEntry{e}
+		return []ask{{e, true}}
 	}
-	out := []*escrowEntry{p.home(r.Customer, e.place)}
-	if p.opts.NoPeers {
-		return out
+	near := p.ranked(r.Customer, e.place)
+	var out []ask
+	for _, h := range near {
+		out = append(out, ask{h, false})
 	}
 	for place := range p.w.Setup.Places {
-		if place != e.place && p.w.Reach(place, e.place) {
-			if h := p.home(r.Customer, place); h != nil {
-				out = append(out, h)
-			}
+		if place == e.place || p.opts.NoPeers || !p.w.Reach(place, e.place) {
+			continue
+		}
+		if far := p.ranked(r.Customer, place); len(far) > 0 {
+			out = append(out, ask{far[0], false})
 		}
 	}
+	if len(near) > 0 {
+		out = append(out, ask{near[0], true})
+	}
 	return out
 }
 
-// home is the live entry of a place that holds for a customer.
-func (p *Escrow) home(customer, place int) *escrowEntry {
+// unfilled puts the home before the other places where it can still be filled.
+func unfilled(from []ask, v escrow.Verdict) []ask {
+	rest := from[1:]
+	if v.Reason != escrow.ReasonUnfilled || len(rest) == 0 || !rest[len(rest)-1].wait {
+		return rest
+	}
+	home := rest[len(rest)-1]
+	if home.holder != from[0].holder {
+		return rest
+	}
+	return append([]ask{home}, rest[:len(rest)-1]...)
+}
+
+// ranked lists the live entries of a place, the customer's home first.
+func (p *Escrow) ranked(customer, place int) []*escrowEntry {
 	var ids []fleet.NodeID
 	byID := map[fleet.NodeID]*escrowEntry{}
 	for _, e := range p.entries {
@@ -47,28 +72,30 @@
 			byID[e.id] = e
 		}
 	}
-	if len(ids) == 0 {
-		return nil
+	var out []*escrowEntry
+	for _, id := range fleet.Rendezvous(p.w.Setup.Customers[customer].Name, ids) {
+		out = append(out, byID[id])
 	}
-	return byID[fleet.Rendezvous(p.w.Setup.Customers[customer].Name, ids)[0]]
+	return out
 }
 
-func (p *Escrow) reserveAt(r *Request, e *escrowEntry, from []*escrowEntry, done func(bool)) {
+func (p *Escrow) reserveAt(r *Request, e *escrowEntry, from []ask, done func(bool)) {
 	if len(from) == 0 {
 		done(false)
 		return
 	}
-	h := from[0]
-	id := fmt.Sprintf("%d/%d/%s", r.ID, r.retries, h.id)
+	h := from[0].holder
+	id := fmt.Sprintf("%d/%d/%d/%s", r.ID, r.retries, len(from), h.id)
 	life := h.life
 	finished := false
 	verdict := func(v escrow.Verdict) {
 		if finished {
+			p.giveBack(h, life, v)
 			return
 		}
 		finished = true
 		if len(v.Parts) == 0 {
-			p.reserveAt(r, e, from[1:], done)
+			p.reserveAt(r, e, unfilled(from, v), done)
 			return
 		}
 		p.dispatch(r, e, h, id, v.Parts, done)
@@ -85,7 +112,7 @@
 		h.waiting[id] = verdict
 		p.act(h, func(now time.Time, fx *escrow.Effects) {
 			h.holder.Reserve(now, escrow.Request{
-				ID: id, Customer: p.w.Setup.Customers[r.Customer].Name, Worst: r.Worst, Borrower: e.id,
+				ID: id, Customer: p.w.Setup.Customers[r.Customer].Name, Worst: r.Worst, Borrower: e.id, NoWait: !from[0].wait,
 			}, fx)
 		})
 	})
@@ -93,6 +120,13 @@
 	p.w.After(3*time.Second, func() { verdict(escrow.Verdict{ID: id}) })
 }
 
+// giveBack releases what was granted after the entry had stopped waiting.
+func (p *Escrow) giveBack(h *escrowEntry, life int, v escrow.Verdict) {
+	if len(v.Parts) > 0 && h.life == life {
+		p.act(h, func(now time.Time, fx *escrow.Effects) { h.holder.Release(now, v.ID, 0, fx) })
+	}
+}
+
 // dispatch opens the charge at an agent of the place.
 func (p *Escrow) dispatch(r *Request, e, h *escrowEntry, id string, parts []escrow.Part, done func(bool)) {
 	if !p.up(e) {
--- a/core/trial/central.go
+++ b/core/trial/central.go
@@ -87,3 +87,9 @@
 }
 
 func (p *clairvoyant) Release(*Request, escrow.Tokens) {}
+
+// Placed implements Policy: all lies at control.
+func (p *central) Placed(int, int) escrow.Tokens { return 0 }
+
+// Placed implements Policy: the ideal split.
+func (p *clairvoyant) Placed(_, c int) escrow.Tokens { return p.w.ideal[c][1] }
--- a/core/trial/compare.go
+++ b/core/trial/compare.go
@@ -54,14 +54,14 @@
 
 // Table writes results as a Markdown table.
 func Table(w io.Writer, results []*Result) error {
-	_, err := fmt.Fprintln(w, "| policy | overspend | false refusals, caller's side | false refusals, whole fleet | tokens refused wrongly (side / fleet) | control calls per request | wait p50 / p99 | dead entry's rest back, p50 / max | locked at the end |\n"+
-		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	_, err := fmt.Fprintln(w, "| policy | overspend | false refusals, caller's side | false refusals, ideal split | false refusals, whole fleet | tokens refused wrongly (side / fleet) | control calls per request | wait p50 / p99 | dead entry's rest back, p50 / max | locked at the end |\n"+
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	if err != nil {
 		return err
 	}
 	for _, r := range results {
-		_, err := fmt.Fprintf(w, "| %s | %d | %.4f%% | %.4f%% | %d / %d | 1 in %s | %.1f / %.1f ms | %.1f / %.1f s | %d |\n",
-			r.Policy, r.Overspend, 100*r.SideRate(), 100*r.FleetRate(), r.FalseSideTokens, r.FalseFleetTokens, perCall(r),
+		_, err := fmt.Fprintf(w, "| %s | %d | %.4f%% | %.4f%% | %.4f%% | %d / %d | 1 in %s | %.1f / %.1f ms | %.1f / %.1f s | %d |\n",
+			r.Policy, r.Overspend, 100*r.SideRate(), 100*r.IdealRate(), 100*r.FleetRate(), r.FalseSideTokens, r.FalseFleetTokens, perCall(r),
 			float64(r.Wait.ValueAtQuantile(50))/1000, float64(r.Wait.ValueAtQuantile(99))/1000,
 			float64(r.Settle.ValueAtQuantile(50))/1000, float64(r.Settle.Max())/1000, r.Locked)
 		if err != nil {
--- a/core/trial/escrow.go
+++ b/core/trial/escrow.go
@@ -44,6 +44,8 @@
 	agents  []*escrowAgent
 	// jobs are the reservations by request.
 	jobs map[int]*escrowJob
+	// denied holds what was free when a holder was denied, by customer.
+	denied map[fleet.NodeID]map[string]escrow.Tokens
 }
 
 type escrowEntry struct {
@@ -79,7 +81,7 @@
 // NewEscrowWith runs the policy with some parts switched off.
 func NewEscrowWith(opts EscrowOptions) NewPolicy {
 	return func(w *World) Policy {
-		p := &Escrow{w: w, opts: opts, ledger: ledger.New(), jobs: map[int]*escrowJob{}}
+		p := &Escrow{w: w, opts: opts, ledger: ledger.New(), jobs: map[int]*escrowJob{}, denied: map[fleet.NodeID]map[string]escrow.Tokens{}}
 		p.addAgents()
 		for e := range w.Down {
 			p.entries = append(p.entries, &escrowEntry{slot: e, place: w.Place(e)})
@@ -91,6 +93,7 @@
 		}
 		w.Every(holderTick, p.tick)
 		w.Every(beatTime, p.beat)
+		w.Every(beatTime, p.hint)
 		return p
 	}
 }
@@ -169,6 +172,19 @@
 	}
 }
 
+// hint tells denied holders with their next beat that there is more.
+func (p *Escrow) hint() {
+	for _, e := range p.entries {
+		for c, free := range p.denied[e.id] {
+			if !p.w.Control(e.place) || p.ledger.Free(c) <= free {
+				continue
+			}
+			delete(p.denied[e.id], c)
+			p.act(e, func(now time.Time, fx *escrow.Effects) { e.holder.Funded(now, c, fx) })
+		}
+	}
+}
+
 // Locked implements Policy.
 func (p *Escrow) Locked() escrow.Tokens {
 	var sum escrow.Tokens
@@ -239,8 +255,10 @@
 		p.ledger.Close(c)
 	}
 	for _, r := range fx.Refills {
+		r.Away = p.away()
 		answer := p.ledger.Open(r)
 		p.recall(answer.Recalls)
+		p.noteDenial(e, answer)
 		later(controlTrip, func(now time.Time, fx *escrow.Effects) {
 			if answer.Grant != nil {
 				e.holder.AddGrant(now, answer.Seq, *answer.Grant, fx)
@@ -251,6 +269,26 @@
 	}
 }
 
+func (p *Escrow) away() []fleet.NodeID {
+	var out []fleet.NodeID
+	for _, e := range p.entries {
+		if !p.up(e) || !p.w.Control(e.place) {
+			out = append(out, e.id)
+		}
+	}
+	return out
+}
+
+func (p *Escrow) noteDenial(e *escrowEntry, a ledger.Answer) {
+	if a.Denial == nil {
+		return
+	}
+	if p.denied[e.id] == nil {
+		p.denied[e.id] = map[string]escrow.Tokens{}
+	}
+	p.denied[e.id][a.Denial.Customer] = a.Denial.Free
+}
+
 // ledgerAway lets refills fail after their timeout and sends closes later.
 func (p *Escrow) ledgerAway(e *escrowEntry, fx escrow.Effects, later laterFunc) {
 	for _, r := range fx.Refills {
@@ -338,3 +376,27 @@
 	}
 	return r
 }
+
+// Placed implements Policy: also what a dead entry left at its agents.
+func (p *Escrow) Placed(place, c int) escrow.Tokens {
+	var sum escrow.Tokens
+	for _, g := range p.ledger.Grants {
+		if g.Grant.Customer == p.w.Setup.Customers[c].Name && g.Grant.Place == placeName(place) {
+			sum += g.Outstanding - p.usedOf(g.Grant.ID)
+		}
+	}
+	return sum
+}
+
+// usedOf is what was truly used of a grant.
+func (p *Escrow) usedOf(id escrow.GrantID) escrow.Tokens {
+	var sum escrow.Tokens
+	for _, a := range p.agents {
+		r := a.meter.Report(id)
+		sum += r.Settled
+		for _, c := range r.Charges {
+			sum += c.Used
+		}
+	}
+	return sum
+}
--- a/core/trial/lease.go
+++ b/core/trial/lease.go
@@ -160,3 +160,14 @@
 func (p *leases) TopUp(c int, n escrow.Tokens) { p.balance[c] += n }
 
 func (p *leases) Locked() escrow.Tokens { return 0 }
+
+// Placed implements Policy.
+func (p *leases) Placed(place, c int) escrow.Tokens {
+	var sum escrow.Tokens
+	for e, held := range p.held {
+		if l := held[c]; l != nil && !l.ended && p.w.Place(e) == place {
+			sum += l.rest()
+		}
+	}
+	return sum
+}
--- a/core/trial/loop.go
+++ b/core/trial/loop.go
@@ -22,7 +22,7 @@
 // After runs f once d has passed.
 func (l *Loop) After(d time.Duration, f func()) {
 	l.serial++
-	heap.Push(&l.events, event{at: l.Now.Add(d), serial: l.serial, run: f})
+	heap.Push(&l.events, event{at: l.Now.Add(max(d, 0)), serial: l.serial, run: f})
 }
 
 // Every runs f again and again.
--- a/core/trial/run.go
+++ b/core/trial/run.go
@@ -19,6 +19,9 @@
 	TopUp(customer int, n escrow.Tokens)
 	// Locked is what is neither billed nor usable.
 	Locked() escrow.Tokens
+	// Placed is what lies unspent at a place for a customer, so that a cut
+	// leaves it there.
+	Placed(place, customer int) escrow.Tokens
 }
 
 // Request is one request with its truth.
@@ -43,7 +46,9 @@
 
 	paid, spent, inFlight []escrow.Tokens
 	// ideal is what an ideal split leaves for each side of the cut.
-	ideal  [][2]escrow.Tokens
+	ideal [][2]escrow.Tokens
+	// reach is what lies on each side of the cut, by the policy's own placing.
+	reach  [][2]escrow.Tokens
 	policy Policy
 	serial int
 	future []demand
@@ -153,6 +158,7 @@
 	w.paid[t.Customer] += t.Tokens
 	if w.ideal != nil {
 		w.ideal[t.Customer][0] += t.Tokens
+		w.reach[t.Customer][0] += t.Tokens
 	}
 	w.policy.TopUp(t.Customer, t.Tokens)
 }
@@ -186,6 +192,7 @@
 		}
 	}
 	w.ideal = make([][2]escrow.Tokens, len(w.paid))
+	w.reach = make([][2]escrow.Tokens, len(w.paid))
 	for c := range w.paid {
 		free := w.paid[c] - w.spent[c] - w.inFlight[c]
 		both := coming[c][0] + coming[c][1]
@@ -194,6 +201,8 @@
 			far = free * coming[c][1] / both
 		}
 		w.ideal[c] = [2]escrow.Tokens{free - far, far}
+		placed := min(w.policy.Placed(w.Setup.cutPlace(), c), free)
+		w.reach[c] = [2]escrow.Tokens{free - placed, placed}
 	}
 }
 
@@ -234,6 +243,7 @@
 	w.inFlight[r.Customer] += r.True
 	if w.ideal != nil && w.Cut {
 		w.ideal[r.Customer][side] -= r.True
+		w.reach[r.Customer][side] -= r.True
 	}
 	w.After(time.Duration(r.True)*w.Setup.TokenTime/10, func() {
 		w.inFlight[r.Customer] -= r.True
@@ -251,11 +261,20 @@
 		w.Result.FalseFleet++
 		w.Result.FalseFleetTokens += r.True
 	}
-	if w.ideal != nil && w.Cut {
-		free = min(free, w.ideal[r.Customer][w.Side(w.Place(r.Entry))])
-	}
-	if free >= r.Worst {
+	side := w.Side(w.Place(r.Entry))
+	if covered(w, w.reach, r, side, free) {
 		w.Result.FalseSide++
 		w.Result.FalseSideTokens += r.True
 	}
+	if covered(w, w.ideal, r, side, free) {
+		w.Result.FalseIdeal++
+	}
+}
+
+// covered tells whether the balance on a side would have covered a request.
+func covered(w *World, sides [][2]escrow.Tokens, r *Request, side int, free escrow.Tokens) bool {
+	if sides != nil && w.Cut {
+		free = min(free, sides[r.Customer][side])
+	}
+	return free >= r.Worst
 }
--- a/core/trial/score.go
+++ b/core/trial/score.go
@@ -17,9 +17,10 @@
 	// Overspend is the largest excess of true spend over what was paid.
 	Overspend escrow.Tokens
 	// FalseFleet counts refusals that the customer's true balance over the
-	// whole fleet would have covered, FalseSide those that the balance which an
-	// ideal split leaves on the caller's side of the cut would have covered.
-	FalseFleet, FalseSide             int
+	// whole fleet would have covered; FalseSide those that what lies on the
+	// caller's side of the cut would have covered; FalseIdeal those that an
+	// ideal split, made with knowledge of the coming demand, would have covered.
+	FalseFleet, FalseSide, FalseIdeal int
 	FalseFleetTokens, FalseSideTokens escrow.Tokens
 	// Calls counts calls to control.
 	Calls int
@@ -46,6 +47,9 @@
 // SideRate is the same, counted on the caller's side of the cut.
 func (r *Result) SideRate() float64 { return float64(r.FalseSide) / float64(r.Requests) }
 
+// IdealRate is the same, counted against an ideal split over the cut.
+func (r *Result) IdealRate() float64 { return float64(r.FalseIdeal) / float64(r.Requests) }
+
 // CallsPerRequest is the number of control calls per request.
 func (r *Result) CallsPerRequest() float64 { return float64(r.Calls) / float64(r.Requests) }
 
@@ -57,6 +61,7 @@
 	r.Overspend = max(r.Overspend, o.Overspend)
 	r.FalseFleet += o.FalseFleet
 	r.FalseSide += o.FalseSide
+	r.FalseIdeal += o.FalseIdeal
 	r.FalseFleetTokens += o.FalseFleetTokens
 	r.FalseSideTokens += o.FalseSideTokens
 	r.Calls += o.Calls
--- a/core/trial/setup.go
+++ b/core/trial/setup.go
@@ -86,6 +86,15 @@
 	return escrow.Tokens(math.Round(need * share))
 }
 
+// Ample gives every customer ten times what it needs, for steady use.
+func (s Setup) Ample() Setup {
+	s.TopUps = nil
+	for i := range s.Customers {
+		s.Customers[i].Paid = escrow.Tokens(10 * s.Customers[i].PerSecond * s.Length.Seconds() * float64(s.perRequest()))
+	}
+	return s
+}
+
 func (s Setup) perRequest() escrow.Tokens {
 	return s.MeanPrompt + s.MeanOutput
 }
--- a/core/trial/static.go
+++ b/core/trial/static.go
@@ -71,3 +71,14 @@
 }
 
 func (p *static) Locked() escrow.Tokens { return 0 }
+
+// Placed implements Policy.
+func (p *static) Placed(place, c int) escrow.Tokens {
+	var sum escrow.Tokens
+	for e := range p.purse {
+		if p.w.Place(e) == place {
+			sum += p.purse[e][c]
+		}
+	}
+	return sum
+}
--- a/io/ctrl/duty.go
+++ b/io/ctrl/duty.go
@@ -19,6 +19,8 @@
 	loads    map[fleet.NodeID]wire.Load
 	reports  map[escrow.GrantID]map[fleet.NodeID]escrow.Report
 	recalls  map[fleet.NodeID][]escrow.GrantID
+	// denied holds what was free when a holder was denied, by customer.
+	denied map[fleet.NodeID]map[string]escrow.Tokens
 	// proposed holds what was proposed for a grant and is not applied yet.
 	proposed map[escrow.GrantID]time.Time
 	roster   *wire.Roster
@@ -39,6 +41,7 @@
 	d.loads = map[fleet.NodeID]wire.Load{}
 	d.reports = map[escrow.GrantID]map[fleet.NodeID]escrow.Report{}
 	d.recalls = map[fleet.NodeID][]escrow.GrantID{}
+	d.denied = map[fleet.NodeID]map[string]escrow.Tokens{}
 	d.proposed = map[escrow.GrantID]time.Time{}
 	d.roster = nil
 }
@@ -84,6 +87,33 @@
 	return ids
 }
 
+// noteDenials remembers who is to be told once there is more.
+func (d *duty) noteDenials(refills []escrow.Refill, answers []ledger.Answer) {
+	for i, a := range answers {
+		if a.Denial == nil {
+			continue
+		}
+		holder := refills[i].Holder
+		if d.denied[holder] == nil {
+			d.denied[holder] = map[string]escrow.Tokens{}
+		}
+		d.denied[holder][a.Denial.Customer] = a.Denial.Free
+	}
+}
+
+// takeFunded returns the customers for whom there is more than when the holder
+// was denied.
+func (d *duty) takeFunded(holder fleet.NodeID, l *ledger.Ledger) []string {
+	var out []string
+	for c, free := range d.denied[holder] {
+		if l.Free(c) > free {
+			out = append(out, c)
+			delete(d.denied[holder], c)
+		}
+	}
+	return out
+}
+
 // rosterFor lists the live entries and the live agents that have joined.
 func (d *duty) rosterFor(term uint64, l *ledger.Ledger) *wire.Roster {
 	if d.roster != nil && d.builtFor == d.presence.Version() && d.roster.Version.Term == term {
--- a/io/ctrl/service.go
+++ b/io/ctrl/service.go
@@ -108,6 +108,7 @@
 	}
 	reply.Floor = l.Floor()
 	reply.Recalls = h.duty.takeRecalls(id)
+	reply.Funded = h.duty.takeFunded(id, l)
 	reply.Control = h.memberAddrs()
 	if args.Node.Role == fleet.RoleEntry && args.Config < h.state.Config.Version {
 		reply.Config = h.state.Config.Since(args.Config)
@@ -133,6 +134,7 @@
 
 // Budget takes in a holder's refills and statements.
 func (s *Service) Budget(args *wire.BudgetArgs, reply *wire.BudgetReply) error {
+	s.h.markAway(args.Refills)
 	res, hint := s.h.commit(state.Command{Refills: args.Refills, Spends: args.Spends, Closes: args.Closes})
 	reply.Hint = hint
 	reply.Answers = res.Answers
@@ -143,12 +145,28 @@
 	for _, a := range res.Answers {
 		recalls = append(recalls, a.Recalls...)
 	}
-	if len(recalls) > 0 {
-		s.h.view(func(time.Time) { s.h.duty.recall(s.h.state.Ledger, recalls) })
-	}
+	s.h.view(func(time.Time) {
+		s.h.duty.recall(s.h.state.Ledger, recalls)
+		s.h.duty.noteDenials(args.Refills, res.Answers)
+	})
 	return nil
 }
 
+// markAway tells the ledger which holders can't be asked to give back.
+func (h *Host) markAway(refills []escrow.Refill) {
+	h.view(func(now time.Time) {
+		var away []fleet.NodeID
+		for _, holder := range h.state.Ledger.Holders() {
+			if h.duty.presence.Suspects(now, holder) {
+				away = append(away, holder)
+			}
+		}
+		for i := range refills {
+			refills[i].Away = away
+		}
+	})
+}
+
 // Claim binds work that must not repeat to an agent.
 func (s *Service) Claim(args *state.Claim, reply *wire.ClaimReply) error {
 	res, hint := s.h.commit(state.Command{Claim: args})
--- a/io/entry/beat.go
+++ b/io/entry/beat.go
@@ -53,6 +53,9 @@
 	if reply.Roster != nil {
 		e.setRoster(*reply.Roster)
 	}
+	for _, c := range reply.Funded {
+		e.budget.funded(c)
+	}
 	for _, id := range reply.Recalls {
 		e.budget.recall(id)
 	}
--- a/io/entry/budget.go
+++ b/io/entry/budget.go
@@ -184,6 +184,10 @@
 	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.Recall(now, id, fx) })
 }
 
+func (b *budget) funded(customer string) {
+	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.Funded(now, customer, fx) })
+}
+
 func (b *budget) fenced(id escrow.GrantID) {
 	b.post(func(now time.Time, h *escrow.Holder, fx *escrow.Effects) { h.Fenced(now, id, fx) })
 }
--- a/io/entry/lend.go
+++ b/io/entry/lend.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"dotterelgap/core/escrow"
@@ -22,7 +24,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	v := s.e.budget.reserveHere(ctx, escrow.Request{
-		ID: args.ID, Customer: args.Customer, Worst: args.Worst, Borrower: args.Borrower,
+		ID: args.ID, Customer: args.Customer, Worst: args.Worst, Borrower: args.Borrower, NoWait: args.NoWait,
 	})
 	reply.Parts, reply.Reason = v.Parts, v.Reason
 	return nil
@@ -44,18 +46,21 @@
 	holder fleet.NodeID
 }
 
-// home is the entry of the place that holds a customer's grants.
-func (b *budget) home(customer string) fleet.NodeID {
+// near lists the entries of the place, the customer's home first.
+func (b *budget) near(customer string) []fleet.NodeID {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	if ranked := fleet.Rendezvous(customer, b.entries); len(ranked) > 0 {
-		return ranked[0]
+	if len(b.entries) == 0 {
+		return []fleet.NodeID{b.e.deps.Node.ID}
 	}
-	return b.e.deps.Node.ID
+	return fleet.Rendezvous(customer, b.entries)[:min(len(b.entries), maxNear)]
 }
 
-// others lists one holder in every other place.
-func (b *budget) others(customer string) []fleet.NodeID {
+// maxNear bounds the holders of a place that are asked for one request.
+const maxNear = 3
+
+// far lists the customer's home entry in every other place.
+func (b *budget) far(customer string) []fleet.NodeID {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	byPlace := map[fleet.Place][]fleet.NodeID{}
@@ -65,32 +70,64 @@
 		}
 	}
 	var out []fleet.NodeID
-	for _, ids := range byPlace {
-		out = append(out, fleet.Rendezvous(customer, ids)[0])
+	for _, place := range slices.Sorted(maps.Keys(byPlace)) {
+		out = append(out, fleet.Rendezvous(customer, byPlace[place])[0])
 	}
 	return out
 }
 
-// reserve reserves the worst case of an attempt: at the customer's home entry
-// of this place, else here, else at the homes in other places.
+// reserve reserves the worst case of an attempt: from what the place's holders
+// have at hand; else from the home entry, which asks the control group; else
+// from what other places have at hand; at last from this entry itself.
 func (b *budget) reserve(ctx context.Context, r escrow.Request) (reservation, escrow.Reason) {
 	r.Borrower = b.e.deps.Node.ID
-	home := b.home(r.Customer)
-	res, reason := b.reserveAt(ctx, home, r)
+	near := b.near(r.Customer)
+	res, reason := b.atHand(ctx, near, r)
 	if reason == "" {
 		return res, ""
 	}
-	if home != b.e.deps.Node.ID && reason == escrow.ReasonUnreachable {
-		if res, again := b.reserveAt(ctx, b.e.deps.Node.ID, r); again == "" {
+	waited := reason == escrow.ReasonUnfilled
+	if waited {
+		if res, reason = b.reserveAt(ctx, near[0], withID(r, "home")); reason == "" {
 			return res, ""
 		}
 	}
-	for _, peer := range b.others(r.Customer) {
-		if res, again := b.reserveAt(ctx, peer, r); again == "" {
+	if res, again := b.atHand(ctx, b.far(r.Customer), r); again == "" {
+		return res, ""
+	}
+	if !waited {
+		res, reason = b.reserveAt(ctx, near[0], withID(r, "home"))
+	}
+	if reason == escrow.ReasonUnreachable && near[0] != b.e.deps.Node.ID {
+		return b.reserveAt(ctx, b.e.deps.Node.ID, withID(r, "own"))
+	}
+	return res, reason
+}
+
+// withID names a further try for the same request.
+func withID(r escrow.Request, try string) escrow.Request {
+	r.ID += "/" + try
+	return r
+}
+
+// atHand asks holders one after another for what they have, and returns the
+// first one's reason if none has enough.
+func (b *budget) atHand(ctx context.Context, holders []fleet.NodeID, r escrow.Request) (reservation, escrow.Reason) {
+	r.NoWait = true
+	first := escrow.Reason("")
+	for _, holder := range holders {
+		res, reason := b.reserveAt(ctx, holder, withID(r, string(holder)))
+		if reason == "" {
 			return res, ""
 		}
+		if first == "" {
+			first = reason
+		}
+	}
+	if first == "" {
+		first = escrow.ReasonUnreachable
 	}
-	return reservation{}, reason
+	return reservation{}, first
 }
 
 func (b *budget) reserveAt(ctx context.Context, holder fleet.NodeID, r escrow.Request) (reservation, escrow.Reason) {
@@ -106,7 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	args := wire.ReserveArgs{Borrower: b.e.deps.Node.ID, ID: r.ID, Customer: r.Customer, Worst: r.Worst}
+	args := wire.ReserveArgs{Borrower: b.e.deps.Node.ID, ID: r.ID, Customer: r.Customer, Worst: r.Worst, NoWait: r.NoWait}
 	var reply wire.ReserveReply
 	err := b.e.deps.Pool.Call(ctx, n.Addr, "Entry.Reserve", &args, &reply)
 	var unknown *wire.UnknownOutcomeError
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -65,6 +65,8 @@
 	Open, Shut []escrow.GrantID
 	// Recalls are grants that the entry should give back.
 	Recalls []escrow.GrantID
+	// Funded are customers of whom there is more than when the entry was denied.
+	Funded []string
 	// Order is the highest order number given out for the agent's engine; it is
 	// confirmed by a quorum if BeatArgs.Config was 0.
 	Order uint64
--- a/io/wire/work.go
+++ b/io/wire/work.go
@@ -151,6 +151,8 @@
 	ID       string
 	Customer string
 	Worst    escrow.Tokens
+	// NoWait asks for what the holder has at hand only.
+	NoWait bool
 }
 
 // ReserveReply carries the reservation, or why there is none.
