--- /dev/null
+++ b/commands/load.go
@@ -0,0 +1,171 @@
+package commands
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// loadOptions are load's flags.
+type loadOptions struct {
+	url    string
+	key    string
+	model  string
+	rate   float64
+	length time.Duration
+	tokens int
+	prompt int
+}
+
+func newLoad(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap load")
+	var o loadOptions
+	fs.StringVar(&o.url, "url", "http://127.0.0.1:8080", "base URL of an entry, or of an engine")
+	fs.StringVar(&o.key, "customer-key", "", "customer's bearer key")
+	fs.StringVar(&o.model, "model", "assistant", "model to ask")
+	fs.Float64Var(&o.rate, "rate", 100, "requests per second")
+	fs.DurationVar(&o.length, "for", 10*time.Second, "length of the run, at most 10m")
+	fs.IntVar(&o.tokens, "tokens", 16, "tokens per answer")
+	fs.IntVar(&o.prompt, "prompt", 200, "bytes of the prompt")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "dotterelgap load [flags]",
+		ShortHelp:  "sends a bounded load and reports times",
+		LongHelp: help(`
+Sends streamed requests at a steady rate, whatever the answers' times, and
+reports outcomes and the times to the first token. Use it against your own
+processes only.
+
+Example:
+  dotterelgap load -url http://127.0.0.1:8080 -customer-key KEY -rate 500 -for 10s
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			if o.length > 10*time.Minute || o.rate <= 0 || o.rate > 20_000 {
+				return &UsageError{Message: "-for is at most 10m, -rate between 0 and 20000"}
+			}
+			return t.load(ctx, o)
+		},
+	}
+}
+
+// loadRun collects what one run saw.
+type loadRun struct {
+	o      loadOptions
+	client *http.Client
+	whole  atomic.Int64
+	failed atomic.Int64
+	most   atomic.Int64
+	open   atomic.Int64
+
+	mu    sync.Mutex
+	first *hdrhistogram.Histogram
+	gaps  *hdrhistogram.Histogram
+}
+
+func (t *terminal) load(ctx context.Context, o loadOptions) error {
+	r := &loadRun{
+		o: o, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}},
+		first: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+		gaps:  hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+	}
+	var wg sync.WaitGroup
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / o.rate))
+	defer ticker.Stop()
+	end := time.After(o.length)
+loop:
+	for {
+		select {
+		case <-ctx.Done():
+			break loop
+		case <-end:
+			break loop
+		case <-ticker.C:
+			wg.Go(func() { r.one(ctx) })
+		}
+	}
+	wg.Wait()
+	t.printf("whole %d, failed %d, open at once %d\n", r.whole.Load(), r.failed.Load(), r.most.Load())
+	t.printf("first token ms: p50 %.2f, p95 %.2f, p99 %.2f\n", ms(r.first, 50), ms(r.first, 95), ms(r.first, 99))
+	t.printf("between tokens ms: p50 %.2f, p95 %.2f, p99 %.2f\n", ms(r.gaps, 50), ms(r.gaps, 95), ms(r.gaps, 99))
+	return nil
+}
+
+func ms(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// one sends a request and reads its answer.
+func (r *loadRun) one(ctx context.Context) {
+	n := r.open.Add(1)
+	defer r.open.Add(-1)
+	for m := r.most.Load(); n > m && !r.most.CompareAndSwap(m, n); m = r.most.Load() {
+	}
+	if err := r.ask(ctx); err != nil {
+		r.failed.Add(1)
+		return
+	}
+	r.whole.Add(1)
+}
+
+func (r *loadRun) ask(ctx context.Context) error {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+		r.o.model, r.o.tokens, strings.Repeat("p", r.o.prompt))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.o.url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+r.o.key)
+	req.Header.Set("Content-Type", "application/json")
+	started := time.Now()
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return r.read(bufio.NewScanner(resp.Body), started)
+}
+
+// read times the events of an answer; it must end with the end marker.
+func (r *loadRun) read(sc *bufio.Scanner, started time.Time) error {
+	last, done := started, false
+	h := r.first
+	for sc.Scan() {
+		line := sc.Bytes()
+		if !bytes.HasPrefix(line, []byte("data:")) {
+			continue
+		}
+		done = bytes.Contains(line, []byte("[DONE]"))
+		now := time.Now()
+		r.mu.Lock()
+		_ = h.RecordValue(max(now.Sub(last).Microseconds(), 1))
+		r.mu.Unlock()
+		h, last = r.gaps, now
+	}
+	if err := sc.Err(); err != nil {
+		return trace.Wrap(err)
+	}
+	if !done {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
--- /dev/null
+++ b/core/config/bench_test.go
@@ -0,0 +1,71 @@
+package config_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dotterelgap/core/config"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+func document(customers int) config.Document {
+	doc := config.Document{Environment: config.Environment{Name: "e", CustomerKeys: map[string][]config.Digest{}}}
+	for s := range 12 {
+		doc.Intent.Services = append(doc.Intent.Services, config.Service{Name: fmt.Sprint("model-", s), Kind: config.KindModel, MaxOutputTokens: 4096})
+	}
+	for c := range customers {
+		name := fmt.Sprint("customer-", c)
+		doc.Intent.Customers = append(doc.Intent.Customers, config.Customer{
+			Name: name, Weight: 1, Services: []config.Access{{Service: "model-0"}, {Service: "model-1"}},
+		})
+		doc.Environment.CustomerKeys[name] = []config.Digest{config.DigestOf(name)}
+	}
+	return doc
+}
+
+// BenchmarkFollow is one change at a follower: delta, check, document.
+func BenchmarkFollow(b *testing.B) {
+	for _, customers := range []int{100, 1000, 7900} {
+		b.Run(fmt.Sprint(customers), func(b *testing.B) {
+			leader, follower := config.NewStore(), config.NewStore()
+			leader.Apply(config.Change{Put: config.Split(document(customers))})
+			if _, err := follower.Follow(leader.Since(0)); err != nil {
+				b.Fatal(err)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				leader.Apply(config.Change{Put: map[string][]byte{"customer/customer-1": fmt.Appendf(nil, `{"name":"customer-1","weight":%d}`, i+1)}})
+				d := leader.Since(follower.Version)
+				data, err := cbor.Marshal(d)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "delta_bytes")
+				if _, err := follower.Follow(d); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := config.Join(follower.Values()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkFullDelta is what a restarted follower gets.
+func BenchmarkFullDelta(b *testing.B) {
+	for _, customers := range []int{100, 1000, 7900} {
+		b.Run(fmt.Sprint(customers), func(b *testing.B) {
+			leader := config.NewStore()
+			leader.Apply(config.Change{Put: config.Split(document(customers))})
+			for range b.N {
+				data, err := cbor.Marshal(leader.Since(0))
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "delta_bytes")
+			}
+		})
+	}
+}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -66,6 +66,8 @@
 	perHolder map[fleet.NodeID]map[escrow.GrantID]struct{}
 	settling  map[escrow.GrantID]struct{}
 	live      map[fleet.Place][]fleet.NodeID // derived
+	// low is at most the lowest id of an open grant; it only grows.
+	low escrow.GrantID
 }
 
 type holderKey struct {
@@ -231,16 +233,22 @@
 
 // Floor is the lowest id of an open grant.
 func (l *Ledger) Floor() escrow.GrantID {
-	floor := l.NextGrant
-	for id := range l.Grants {
-		floor = min(floor, id)
+	for l.low < l.NextGrant {
+		if _, ok := l.Grants[l.low]; ok {
+			break
+		}
+		l.low++
 	}
-	return floor
+	return l.low
 }
 
 // prune forgets gone agents that no open grant can have used.
 func (l *Ledger) prune() {
+	before := l.low
 	floor := l.Floor()
+	if floor == before {
+		return
+	}
 	maps.DeleteFunc(l.Agents, func(_ fleet.NodeID, a *Agent) bool { return a.Gone && a.GoneAt <= floor })
 }
 
