--- a/commands/agent.go
+++ b/commands/agent.go
@@ -11,6 +11,10 @@
 	"go.uber.org/zap"
 )
 
+// queuePerSlot is the number of requests that an agent takes on per slot of its
+// upstream, running or waiting there.
+const queuePerSlot = 2
+
 var agentKeys = []string{
 	"place", "internal", "control", "service", "upstream", "slots", "stop_timeout",
 	"ca_file", "cert_file", "key_file", "log_level", "log_format", "trace_file", "trace_share",
@@ -69,12 +73,14 @@
 	if err != nil {
 		return nil, err
 	}
+	limits := runs.DefaultLimits()
+	limits.Running = queuePerSlot * s.Slots
 	return agent.Start(agent.Deps{
 		Log: p.Log, Server: p.server, Pool: p.pool, Control: s.controlAddrs(), Upstream: u,
 		Node: fleet.Node{
 			ID: fleet.NewNodeID(fleet.RoleAgent, p.rnd), Role: fleet.RoleAgent, Place: s.place(),
 			Addr: p.server.Addr(), Service: s.Service, Slots: s.Slots,
 		},
-		Limits: runs.DefaultLimits(), Stop: stop,
+		Limits: limits, Stop: stop,
 	})
 }
