--- /dev/null
+++ b/commands/apply.go
@@ -0,0 +1,83 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+
+	"dotterelgap/core/config"
+	"dotterelgap/io/admin"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func newApply(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap apply")
+	var o operatorFlags
+	o.bind(fs)
+	base := fs.Int64("base", -1, "version that the document was written for; -1 takes the one in force")
+	change := fs.String("change-id", "", "id of the change; give the same again to repeat it after a lost answer")
+	return &ffcli.Command{
+		Name:       "apply",
+		ShortUsage: "dotterelgap apply [flags] DOCUMENT",
+		ShortHelp:  "puts a document in force",
+		LongHelp: help(`
+Proposes the document as the version after -base. Of several changes with the
+same base one is accepted; the others end with exit code 3 and the winner's id.
+Repeating a change with its id gives its first verdict again.
+
+Example:
+  dotterelgap apply -admin http://10.0.0.1:7400 -base 7 -change-id add-multan trial.json
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(ctx context.Context, args []string) error {
+			name, data, err := oneFile(args)
+			if err != nil {
+				return err
+			}
+			if _, err := config.Parse(name, data); err != nil {
+				return err
+			}
+			req := admin.ApplyRequest{ChangeID: *change, Base: uint64(max(*base, 0)), File: name, Document: string(data)}
+			return t.apply(ctx, &o, req, *base < 0)
+		},
+	}
+}
+
+func (t *terminal) apply(ctx context.Context, o *operatorFlags, req admin.ApplyRequest, newest bool) error {
+	c := o.client()
+	if newest {
+		now, err := c.Config(ctx)
+		if err != nil {
+			return err
+		}
+		req.Base = now.Version
+	}
+	if req.ChangeID == "" {
+		req.ChangeID = uuid.NewString()
+	}
+	_, _ = fmt.Fprintf(t.err, "change id %s, base %d\n", req.ChangeID, req.Base)
+	r, err := c.Apply(ctx, req)
+	if err != nil {
+		return err
+	}
+	if o.json {
+		if err := t.printJSON(r.Verdict); err != nil {
+			return err
+		}
+	}
+	v := r.Verdict
+	switch {
+	case v.Accepted && !o.json:
+		t.printf("accepted as version %d\n", v.Version)
+		if v.Reason != "" {
+			t.printf("but: %s\n", v.Reason)
+		}
+	case v.Winner != "":
+		return &ConflictError{Message: fmt.Sprintf("conflict: version %d is change %q", v.Base+1, v.Winner)}
+	case !v.Accepted:
+		return &ConflictError{Message: "refused: " + v.Reason}
+	}
+	return nil
+}
--- /dev/null
+++ b/commands/customer.go
@@ -0,0 +1,47 @@
+package commands
+
+import (
+	"context"
+
+	"dotterelgap/io/admin"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func (t *terminal) showCustomer(o *operatorFlags, c admin.CustomerReply, err error) error {
+	if err != nil {
+		return err
+	}
+	if o.json {
+		return t.printJSON(c)
+	}
+	printCustomer(t, c)
+	return nil
+}
+
+func newCustomer(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap customer")
+	var o operatorFlags
+	o.bind(fs)
+	return &ffcli.Command{
+		Name:       "customer",
+		ShortUsage: "dotterelgap customer [flags] NAME",
+		ShortHelp:  "shows a customer's budget",
+		LongHelp: help(`
+Shows what a customer paid, what was billed, the grants by place, and what is in
+doubt and why.
+
+Example:
+  dotterelgap customer multan
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return &UsageError{Message: "one customer is needed"}
+			}
+			c, err := o.client().Customer(ctx, args[0])
+			return t.showCustomer(&o, c, err)
+		},
+	}
+}
--- /dev/null
+++ b/commands/diff.go
@@ -0,0 +1,78 @@
+package commands
+
+import (
+	"context"
+	"slices"
+
+	"dotterelgap/core/config"
+	"dotterelgap/io/admin"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func newDiff(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap diff")
+	var o operatorFlags
+	o.bind(fs)
+	return &ffcli.Command{
+		Name:       "diff",
+		ShortUsage: "dotterelgap diff [flags] DOCUMENT",
+		ShortHelp:  "compares a document with what is in force",
+		LongHelp: help(`
+Lists what applying the document would change. Exit code 5 says that something
+differs.
+
+Example:
+  dotterelgap diff -admin http://10.0.0.1:7400 trial.json
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(ctx context.Context, args []string) error {
+			name, data, err := oneFile(args)
+			if err != nil {
+				return err
+			}
+			doc, err := config.Parse(name, data)
+			if err != nil {
+				return err
+			}
+			now, err := o.client().Config(ctx)
+			if err != nil {
+				return err
+			}
+			return t.printDiff(o.json, now, config.Diff(config.Split(now.Document), config.Split(doc)))
+		},
+	}
+}
+
+// diffReport is what diff prints as JSON.
+type diffReport struct {
+	Version uint64   `json:"version"`
+	Put     []string `json:"put"`
+	Delete  []string `json:"delete"`
+}
+
+func (t *terminal) printDiff(asJSON bool, now admin.ConfigReply, c config.Change) error {
+	r := diffReport{Version: now.Version, Put: []string{}, Delete: append([]string{}, c.Delete...)}
+	for k := range c.Put {
+		r.Put = append(r.Put, k)
+	}
+	slices.Sort(r.Put)
+	if asJSON {
+		if err := t.printJSON(r); err != nil {
+			return err
+		}
+	} else {
+		t.printf("version %d is in force\n", r.Version)
+		for _, k := range r.Put {
+			t.printf("put    %s\n", k)
+		}
+		for _, k := range r.Delete {
+			t.printf("delete %s\n", k)
+		}
+	}
+	if c.Empty() {
+		return nil
+	}
+	return &DiffersError{}
+}
--- /dev/null
+++ b/commands/keygen.go
@@ -0,0 +1,47 @@
+package commands
+
+import (
+	"context"
+	"time"
+
+	"dotterelgap/core/config"
+	"dotterelgap/io/wire"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func newKeygen(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap keygen")
+	dir := fs.String("dir", "", "folder for the fleet's authority and a process's certificate; without it a bearer key is made")
+	name := fs.String("name", "process", "name of the process")
+	return &ffcli.Command{
+		Name:       "keygen",
+		ShortUsage: "dotterelgap keygen [flags]",
+		ShortHelp:  "makes a bearer key or a process's certificate",
+		LongHelp: help(`
+Without -dir: prints a random bearer key and its digest for the document. With
+-dir: makes the fleet's authority there, once, and a certificate for a process.
+
+Example:
+  dotterelgap keygen
+  dotterelgap keygen -dir keys -name entry-1
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(_ context.Context, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			if *dir == "" {
+				key := newKey()
+				t.printf("key    %s\ndigest %s\n", key, config.DigestOf(key))
+				return nil
+			}
+			keys, err := wire.Generate(*dir, *name, time.Now())
+			if err != nil {
+				return err
+			}
+			return t.printJSON(keys)
+		},
+	}
+}
--- a/commands/operator.go
+++ b/commands/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"dotterelgap/io/admin"
 
@@ -77,3 +78,17 @@
 		}
 	}
 }
+
+// pollInterval is the time between two looks at something that takes a while.
+const pollInterval = 200 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/commands/order.go
@@ -0,0 +1,57 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/io/admin"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func newOrder(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap order")
+	var o operatorFlags
+	o.bind(fs)
+	id := fs.String("id", "", "id of the order; give the same again to repeat it")
+	node := fs.String("agent", "", "agent beside the engine")
+	action := fs.String("action", "", "load_model, load_adapter, load_version or change_role")
+	name := fs.String("name", "", "what to load, or which role")
+	return &ffcli.Command{
+		Name:       "order",
+		ShortUsage: "dotterelgap order [flags]",
+		ShortHelp:  "gives an engine an order",
+		LongHelp: help(`
+Gives an engine an order under a fencing number of the control log.
+
+Example:
+  dotterelgap order -id roll-7 -agent agent-0c2d5b1e9f00 -action load_version -name v7
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			if *node == "" || *action == "" {
+				return &UsageError{Message: "needs -agent and -action"}
+			}
+			if *id == "" {
+				*id = uuid.NewString()
+			}
+			var r admin.OrderReply
+			req := admin.OrderRequest{ID: *id, Agent: fleet.NodeID(*node), Action: *action, Name: *name}
+			if err := o.client().Do(ctx, http.MethodPost, admin.PathOrders, req, &r); err != nil {
+				return err
+			}
+			if !r.Done {
+				return fmt.Errorf("order %d was not carried out: %s", r.Number, r.Message)
+			}
+			t.printf("order %d was carried out\n", r.Number)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/commands/replace.go
@@ -0,0 +1,63 @@
+package commands
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dotterelgap/core/raft"
+	"dotterelgap/io/admin"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func newReplace(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap replace")
+	var o operatorFlags
+	o.bind(fs)
+	limit := fs.Duration("timeout", time.Minute, "how long to wait for the repair")
+	return &ffcli.Command{
+		Name:       "replace",
+		ShortUsage: "dotterelgap replace [flags] MEMBER",
+		ShortHelp:  "replaces a lost control host",
+		LongHelp: help(`
+Takes a lost control host out of the group once a new host has caught up, and
+waits until the group could lose any other host. Start the new host first, with
+an empty data folder and without -bootstrap. Repeating the command is safe.
+
+Example:
+  dotterelgap replace 5f0c3a9d11e24b07
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return &UsageError{Message: "one member is needed; see 'dotterelgap status'"}
+			}
+			id, err := strconv.ParseUint(args[0], 16, 64)
+			if err != nil {
+				return &UsageError{Message: "a member is a hexadecimal number; see 'dotterelgap status'"}
+			}
+			ctx, cancel := context.WithTimeout(ctx, *limit)
+			defer cancel()
+			return t.replace(ctx, &o, raft.MemberID(id))
+		},
+	}
+}
+
+func (t *terminal) replace(ctx context.Context, o *operatorFlags, lost raft.MemberID) error {
+	last := ""
+	return repeatUntil(ctx, func() (bool, error) {
+		var r admin.ReplaceReply
+		err := o.client().Do(ctx, http.MethodPost, admin.PathReplace, admin.ReplaceRequest{Lost: lost}, &r)
+		if err != nil {
+			return false, err
+		}
+		if r.Message != last {
+			last = r.Message
+			t.printf("%s\n", last)
+		}
+		return r.Complete, nil
+	})
+}
--- a/core/escrow/meter.go
+++ b/core/escrow/meter.go
@@ -265,8 +265,3 @@
 		return c.Done && !slices.ContainsFunc(c.Parts, func(p Part) bool { return p.Grant >= floor })
 	})
 }
-
-// Len is the number of grants and charges that the meter keeps.
-func (m *Meter) Len() (grants, charges int) {
-	return len(m.settled) + len(m.fenced), len(m.charges)
-}
--- a/core/escrow/witness.go
+++ b/core/escrow/witness.go
@@ -89,15 +89,6 @@
 	return reply.Watermark
 }
 
-// Watermark returns what has been claimed of a grant at this witness.
-func (w *Witness) Watermark(id GrantID) (Tokens, bool) {
-	r, ok := w.registers[id]
-	if !ok {
-		return 0, false
-	}
-	return r.watermark, true
-}
-
 // Grants lists the grants of a customer in a place that are still open here,
 // lowest id first.
 func (w *Witness) Grants(customer string, place fleet.Place) []Grant {
@@ -121,8 +112,3 @@
 	w.floor = max(w.floor, floor)
 	maps.DeleteFunc(w.registers, func(id GrantID, _ *register) bool { return id < w.floor })
 }
-
-// Len is the number of grants that are witnessed here.
-func (w *Witness) Len() int {
-	return len(w.registers)
-}
--- a/core/ledger/budget_test.go
+++ b/core/ledger/budget_test.go
@@ -36,6 +36,7 @@
 			"progress": w.stepProgress,
 			"end":      w.stepEnd,
 			"resolve":  w.stepResolve,
+			"last":     w.stepResolveLast,
 			"resend":   w.stepResend,
 			"tick":     w.stepTick,
 			"clock":    w.stepClock,
@@ -283,6 +284,26 @@
 	}
 }
 
+// stepResolveLast retries a key at a later agent, lets all runs end, and books
+// the newest attempt before the earlier ones.
+func (w *world) stepResolveLast(t *rapid.T) {
+	w.stepRetry(t)
+	w.stepDeliverMany(t)
+	for _, tr := range w.running() {
+		w.end(tr)
+	}
+	for _, e := range w.entries {
+		ids := sortedJobs(e)
+		if len(ids) == 0 || e.frozen {
+			continue
+		}
+		if j := e.jobs[ids[len(ids)-1]]; j.sent && !j.over {
+			w.resolve(e, j)
+		}
+	}
+	w.stepDeliverMany(t)
+}
+
 func (w *world) stepResend(t *rapid.T) {
 	e := pick(t, "entry", w.entries)
 	for _, id := range sortedJobs(e) {
--- a/core/ledger/grants.go
+++ b/core/ledger/grants.go
@@ -20,9 +20,6 @@
 
 // Open answers a refill. A resent one gets the same grant again.
 func (l *Ledger) Open(r escrow.Refill) Answer {
-	if g, ok := l.byHolder[holderKey{r.Holder, r.Customer, r.Seq}]; ok {
-		return Answer{Seq: r.Seq, Grant: &g.Grant}
-	}
 	if g := l.missed(r); g != nil {
 		return Answer{Seq: r.Seq, Grant: &g.Grant}
 	}
@@ -44,7 +41,7 @@
 			ID: l.NextGrant, Customer: r.Customer, Place: r.Place, Holder: r.Holder,
 			Amount: amount, Witnesses: l.witnesses(r),
 		},
-		Seq: r.Seq, Outstanding: amount, Spent: map[fleet.NodeID]escrow.Tokens{},
+		Outstanding: amount, Spent: map[fleet.NodeID]escrow.Tokens{},
 	}
 	l.NextGrant++
 	l.Grants[g.Grant.ID] = g
@@ -52,7 +49,8 @@
 	return Answer{Seq: r.Seq, Grant: &g.Grant, Recalls: recalls}
 }
 
-// missed finds a grant that was opened for the holder and never reached it.
+// missed finds a grant that was opened for the holder and has not reached it:
+// its answer was lost, or the refill came twice.
 func (l *Ledger) missed(r escrow.Refill) *OpenGrant {
 	for _, id := range l.perOwner[r.Customer] {
 		g := l.Grants[id]
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -27,7 +27,6 @@
 // OpenGrant is a grant that the ledger has not settled yet.
 type OpenGrant struct {
 	Grant escrow.Grant `cbor:"grant"`
-	Seq   uint64       `cbor:"seq"`
 	// Outstanding is the most that may still be billed for the grant.
 	Outstanding escrow.Tokens                  `cbor:"outstanding"`
 	Spent       map[fleet.NodeID]escrow.Tokens `cbor:"spent"`
@@ -60,7 +59,6 @@
 	NextGrant escrow.GrantID                `cbor:"next_grant"`
 	Agents    map[fleet.NodeID]*Agent       `cbor:"agents"`
 	WriteOffs map[string]escrow.GrantID     `cbor:"write_offs"`
-	byHolder  map[holderKey]*OpenGrant      // derived
 	held      map[string]escrow.Tokens      // derived
 	perOwner  map[string][]escrow.GrantID   // derived
 	perHolder map[fleet.NodeID]map[escrow.GrantID]struct{}
@@ -70,12 +68,6 @@
 	low escrow.GrantID
 }
 
-type holderKey struct {
-	holder   fleet.NodeID
-	customer string
-	seq      uint64
-}
-
 // New returns an empty ledger.
 func New() *Ledger {
 	l := &Ledger{NextGrant: 1}
@@ -89,7 +81,6 @@
 	l.Grants = orEmpty(l.Grants)
 	l.Agents = orEmpty(l.Agents)
 	l.WriteOffs = orEmpty(l.WriteOffs)
-	l.byHolder = map[holderKey]*OpenGrant{}
 	l.held = map[string]escrow.Tokens{}
 	l.perOwner = map[string][]escrow.GrantID{}
 	l.perHolder = map[fleet.NodeID]map[escrow.GrantID]struct{}{}
@@ -114,7 +105,6 @@
 
 func (l *Ledger) index(g *OpenGrant) {
 	c := g.Grant.Customer
-	l.byHolder[holderKey{g.Grant.Holder, c, g.Seq}] = g
 	l.held[c] += g.Outstanding
 	l.perOwner[c] = append(l.perOwner[c], g.Grant.ID)
 	held, ok := l.perHolder[g.Grant.Holder]
@@ -256,7 +246,6 @@
 func (l *Ledger) remove(g *OpenGrant, billed escrow.Tokens) {
 	c := g.Grant.Customer
 	delete(l.Grants, g.Grant.ID)
-	delete(l.byHolder, holderKey{g.Grant.Holder, c, g.Seq})
 	delete(l.settling, g.Grant.ID)
 	l.forgetHeld(g)
 	l.held[c] -= g.Outstanding
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -243,10 +243,3 @@
 		r.checkSlow(now, t)
 	}
 }
-
-// Report takes in a load report that came by itself. It may lag.
-func (r *Router) Report(id fleet.NodeID, l Load) {
-	if t, ok := r.targets[id]; ok {
-		t.report(l)
-	}
-}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -32,8 +32,6 @@
 	// Upstream is the base URL of the engine or service.
 	Upstream *url.URL
 	Limits   runs.Limits
-	// IgnoresNumbers is set for engines that take any order number.
-	IgnoresNumbers bool
 	// Stop asks the process to end in an orderly way.
 	Stop func()
 }
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -36,8 +36,6 @@
 	Saved    raft.Saved
 	Pool     *wire.Pool
 	Addr     netip.AddrPort
-	// Peers are addresses of other control hosts, as far as known.
-	Peers []netip.AddrPort
 	// Size is the number of voters up to which joining hosts are promoted.
 	Size int
 	// FirstOperator may apply the first configuration.
--- a/io/ctrl/metrics.go
+++ b/io/ctrl/metrics.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 
-	"go.opentelemetry.io/otel"
+	"dotterelgap/io/telem"
+
 	"go.opentelemetry.io/otel/metric"
 )
 
@@ -14,22 +15,11 @@
 }
 
 func newMetrics() *metrics {
-	m := otel.Meter("dotterelgap/control")
 	return &metrics{
-		syncs:   counter(m, "control_log_syncs", "Syncs of the log file."),
-		entries: counter(m, "control_log_entries", "Entries written to the log file."),
-		beats:   counter(m, "control_beats", "Announcements that were answered."),
-	}
-}
-
-// counter makes a counter. Only a bad name is an error, and a fallback that
-// counts nothing comes with it.
-func counter(m metric.Meter, name, help string) metric.Int64Counter {
-	c, err := m.Int64Counter(name, metric.WithDescription(help))
-	if err != nil {
-		otel.Handle(err)
+		syncs:   telem.Counter("control", "control_log_syncs", "Syncs of the log file."),
+		entries: telem.Counter("control", "control_log_entries", "Entries written to the log file."),
+		beats:   telem.Counter("control", "control_beats", "Announcements that were answered."),
 	}
-	return c
 }
 
 func (m *metrics) synced(entries int) {
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -26,7 +26,6 @@
 	log File
 	// failed is set by the first error; after it nothing may be answered for.
 	failed error
-	size   int64
 }
 
 // Identity names a data folder for good.
@@ -114,7 +113,6 @@
 		return trace.Wrap(err)
 	}
 	s.log = f
-	s.size = int64(end)
 	if end == len(data) {
 		return nil
 	}
@@ -156,7 +154,6 @@
 	if err := writeAll(s.log, framed); err != nil {
 		return s.fail(err)
 	}
-	s.size += int64(len(framed))
 	return s.fail(s.log.Sync())
 }
 
@@ -179,15 +176,9 @@
 	}
 	_ = s.log.Close()
 	s.log, err = s.fs.OpenAppend(s.path(logFile))
-	s.size = int64(len(framed))
 	return s.fail(err)
 }
 
-// LogSize is the size of the log file, in bytes.
-func (s *Store) LogSize() int64 {
-	return s.size
-}
-
 // Close closes the log file.
 func (s *Store) Close() error {
 	return trace.Wrap(s.log.Close())
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"dotterelgap/core/escrow"
+	"dotterelgap/io/telem"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
@@ -17,22 +17,13 @@
 }
 
 func newMetrics() *metrics {
-	m := otel.Meter("dotterelgap/entry")
 	return &metrics{
-		requests: counter(m, "entry_requests", "Requests by outcome and code."),
-		tokens:   counter(m, "entry_tokens", "Tokens that were charged."),
-		control:  counter(m, "entry_control_calls", "Budget and claim calls to the control group."),
+		requests: telem.Counter("entry", "entry_requests", "Requests by outcome and code."),
+		tokens:   telem.Counter("entry", "entry_tokens", "Tokens that were charged."),
+		control:  telem.Counter("entry", "entry_control_calls", "Budget and claim calls to the control group."),
 	}
 }
 
-func counter(m metric.Meter, name, help string) metric.Int64Counter {
-	c, err := m.Int64Counter(name, metric.WithDescription(help))
-	if err != nil {
-		otel.Handle(err)
-	}
-	return c
-}
-
 func (m *metrics) request(p *Problem) {
 	outcome, code := OutcomeDone, "ok"
 	if p != nil {
