--- a/commands/script_test.go
+++ b/commands/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"time"
 
 	"dotterelgap/commands"
+	"dotterelgap/io/admin"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -40,6 +42,7 @@
 			"repeat": cmdRepeat,
 			"begin":  cmdBegin,
 			"finish": cmdFinish,
+			"member": cmdMember,
 		},
 	})
 }
@@ -170,3 +173,18 @@
 	}
 	ts.Fatalf("%v: gave up; the last output was:\n%s", args, out)
 }
+
+// cmdMember sets a variable to the number of the control host at an address:
+// member NAME ADDRESS
+func cmdMember(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(ts.Exec("dotterelgap", "status", "-json"))
+	var status admin.StatusReply
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("stdout")), &status))
+	for _, m := range status.Control.Members.Members {
+		if m.Addr.String() == args[1] {
+			ts.Setenv(args[0], strconv.FormatUint(uint64(m.ID), 16))
+			return
+		}
+	}
+	ts.Fatalf("no member at %s", args[1])
+}
