Keep an entry's stop within its bound when an agent does not answer

Cause: read in review: bookings of attempts whose agent is gone try for up to half a minute, and a stop waited for all of them, past its own bound.

--- a/io/entry/booking.go
+++ b/io/entry/booking.go
@@ -40,10 +40,9 @@
 			b.e.budget.release(b.res, billed)
 			return
 		}
-		if ok {
+		if ok || !b.e.pause(min(resumePause<<try, bookPause)) {
 			break
 		}
-		time.Sleep(min(resumePause<<try, bookPause))
 	}
 	b.e.budget.abandon(b.res)
 }
@@ -92,7 +91,22 @@
 		if err == nil {
 			return reply.Voided
 		}
-		time.Sleep(min(resumePause<<try, bookPause))
+		if !b.e.pause(min(resumePause<<try, bookPause)) {
+			return false
+		}
 	}
 	return false
 }
+
+// pause waits between two tries. It is false once the entry is stopping: the
+// ledger then settles what is left.
+func (e *Entry) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-e.stopping:
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -52,6 +52,8 @@
 	wg      sync.WaitGroup
 	kick    chan struct{}
 	slots   chan struct{}
+	// stopping is closed once the last request has ended.
+	stopping chan struct{}
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -69,17 +71,18 @@
 func Start(deps Deps) (*Entry, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
-		deps:    deps,
-		log:     deps.Log,
-		client:  ctrl.NewClient(deps.Pool, deps.Control),
-		streams: newStreamClient(deps.TLS),
-		metrics: newMetrics(),
-		cancel:  cancel,
-		kick:    make(chan struct{}, 1),
-		slots:   make(chan struct{}, deps.Limits.Concurrency),
-		store:   config.NewStore(),
-		view:    newView(config.Document{}),
-		router:  route.New(route.DefaultOptions(), deps.Node.ID, deps.Node.Place, deps.Rand),
+		deps:     deps,
+		log:      deps.Log,
+		client:   ctrl.NewClient(deps.Pool, deps.Control),
+		streams:  newStreamClient(deps.TLS),
+		metrics:  newMetrics(),
+		cancel:   cancel,
+		kick:     make(chan struct{}, 1),
+		stopping: make(chan struct{}),
+		slots:    make(chan struct{}, deps.Limits.Concurrency),
+		store:    config.NewStore(),
+		view:     newView(config.Document{}),
+		router:   route.New(route.DefaultOptions(), deps.Node.ID, deps.Node.Place, deps.Rand),
 	}
 	e.budget = newBudget(e, deps.Budget)
 	if err := deps.Server.Register("Entry", &Service{e: e}); err != nil {
@@ -124,6 +127,7 @@
 	if left > 0 {
 		_ = e.http.Close()
 	}
+	close(e.stopping)
 	e.budget.drain(e.deps.Limits.DrainTimeout)
 	e.cancel()
 	e.wg.Wait()
--- a/io/entry/lend.go
+++ b/io/entry/lend.go
@@ -175,7 +175,9 @@
 		if err == nil {
 			return
 		}
-		time.Sleep(time.Duration(try+1) * releasePause)
+		if !b.e.pause(time.Duration(try+1) * releasePause) {
+			return
+		}
 	}
 }
 
