--- a/core/config/bench_test.go
+++ b/core/config/bench_test.go
@@ -1,7 +1,9 @@
 package config_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"dotterelgap/core/config"
@@ -19,6 +21,7 @@
 		doc.Intent.Customers = append(doc.Intent.Customers, config.Customer{
 			Name: name, Weight: 1, Services: []config.Access{{Service: "model-0"}, {Service: "model-1"}},
 		})
+		doc.Environment.Operators = []config.Operator{{Name: "o", Keys: []config.Digest{config.DigestOf("o")}}}
 		doc.Environment.CustomerKeys[name] = []config.Digest{config.DigestOf(name)}
 	}
 	return doc
@@ -69,3 +72,53 @@
 		})
 	}
 }
+
+// BenchmarkParse reads and checks a whole document, as the operators' API does.
+func BenchmarkParse(b *testing.B) {
+	for _, customers := range []int{100, 1000, 7900} {
+		b.Run(fmt.Sprint(customers), func(b *testing.B) {
+			text, err := json.Marshal(document(customers))
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ResetTimer()
+			for range b.N {
+				if _, err := config.Parse("bench.json", text); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkStoreMemory reports what the configuration takes at a follower.
+func BenchmarkStoreMemory(b *testing.B) {
+	for _, customers := range []int{100, 1000, 7900} {
+		b.Run(fmt.Sprint(customers), func(b *testing.B) {
+			leader := config.NewStore()
+			leader.Apply(config.Change{Put: config.Split(document(customers))})
+			d := leader.Since(0)
+			for range b.N {
+				before := heap()
+				f := config.NewStore()
+				if _, err := f.Follow(d); err != nil {
+					b.Fatal(err)
+				}
+				doc, err := config.Join(f.Values())
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(heap()-before), "bytes")
+				runtime.KeepAlive(f)
+				runtime.KeepAlive(doc)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/core/parse/into.go
+++ b/core/parse/into.go
@@ -14,7 +14,7 @@
 
 // Into reads data into dst, a pointer to a struct.
 func Into(file string, data []byte, dst any) *Problems {
-	d := &decoder{data: data, ps: &Problems{file: file, lines: map[string]int{"": 1}}}
+	d := &decoder{newlines: newlines(data), ps: &Problems{file: file, lines: map[string]int{"": 1}}}
 	v, err := hujson.Parse(data)
 	if err != nil {
 		d.ps.addAt(syntaxLine(data, err), "", "not JSON with comments: "+err.Error())
@@ -35,12 +35,24 @@
 }
 
 type decoder struct {
-	data []byte
-	ps   *Problems
+	// newlines holds the offsets of the ends of lines.
+	newlines []int
+	ps       *Problems
+}
+
+func newlines(data []byte) []int {
+	var out []int
+	for i, c := range data {
+		if c == '\n' {
+			out = append(out, i)
+		}
+	}
+	return out
 }
 
 func (d *decoder) lineOf(offset int) int {
-	return bytes.Count(d.data[:min(offset, len(d.data))], []byte("\n")) + 1
+	n, _ := slices.BinarySearch(d.newlines, offset)
+	return n + 1
 }
 
 func (d *decoder) value(v hujson.Value, path string, dst reflect.Value) {
