--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -86,6 +86,67 @@
 	})
 }
 
+// recover heals everything that can heal and lets time pass.
+func (g *group) recover(rounds int) {
+	clear(g.cut)
+	for _, h := range g.hosts {
+		h.frozen = false
+		if !h.up && !h.lost {
+			g.start(h)
+		}
+	}
+	g.settle(rounds)
+}
+
+// oldLeader freezes a leader until another one has committed more, and reads at
+// the old one as soon as it wakes up.
+func (g *group) oldLeader() {
+	g.recover(40)
+	l := g.leader()
+	if l == nil {
+		return
+	}
+	l.frozen = true
+	g.settle(40)
+	if next := g.leader(); next != nil {
+		g.propose(next)
+		g.settle(5)
+	}
+	l.frozen = false
+	g.read(l)
+}
+
+// learnerOnly cuts a leader off with a learner, lets it propose, and lets the
+// others go on.
+func (g *group) learnerOnly() {
+	g.recover(40)
+	l := g.leader()
+	if l == nil || len(g.hosts) >= 9 {
+		return
+	}
+	g.serial++
+	fresh := &host{id: raft.MemberID(g.serial)}
+	g.hosts = append(g.hosts, fresh)
+	g.start(fresh)
+	g.do(l, func(m *raft.Machine) { _, _ = m.AddLearner(g.now, raft.Member{ID: fresh.id}) })
+	g.settle(10)
+	for _, h := range g.hosts {
+		if h != l && h != fresh {
+			g.cut[[2]raft.MemberID{l.id, h.id}], g.cut[[2]raft.MemberID{h.id, l.id}] = true, true
+		}
+	}
+	g.propose(l)
+	g.settle(3)
+	l.frozen = true
+	g.settle(40)
+	if next := g.leader(); next != nil {
+		g.propose(next)
+		g.settle(5)
+	}
+	l.frozen = false
+	clear(g.cut)
+}
+
 func (g *group) changeAt(f func(m *raft.Machine)) {
 	if l := g.leader(); l != nil {
 		g.do(l, f)
@@ -95,14 +156,7 @@
 // finish heals everything and checks that the group commits again and all of
 // its members come to the same state.
 func (g *group) finish() {
-	clear(g.cut)
-	for _, h := range g.hosts {
-		h.frozen = false
-		if !h.up && !h.lost {
-			g.start(h)
-		}
-	}
-	g.settle(200)
+	g.recover(200)
 	l := g.leader()
 	if l == nil {
 		g.fail("no leader after healing")
@@ -162,3 +216,15 @@
 	g.settle(20)
 	is.True(g.acked > before && before >= acked)
 }
+
+func TestOldLeaderServesNoStaleRead(t *testing.T) {
+	g := newGroup(3, t.Fatalf)
+	g.oldLeader()
+	g.finish()
+}
+
+func TestLearnerIsNoPartOfTheQuorum(t *testing.T) {
+	g := newGroup(3, t.Fatalf)
+	g.learnerOnly()
+	g.finish()
+}
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -123,10 +123,10 @@
 	if err == nil {
 		t.Fatal("a failed sync was not reported")
 	}
+	f.fs.failSync = false
 	if err := f.store.Append(nil, []raft.Entry{entry(f.last()+1, 99)}); err == nil {
 		t.Fatal("the store went on after a failed sync")
 	}
-	f.fs.failSync = false
 	f.fs.crash(rapid.IntRange(0, 20).Draw(t, "tear"), rapid.Bool().Draw(t, "garble"), true)
 	f.open(t)
 }
