Refuse to promote a learner that has not answered lately

Change: Promote also asks whether the learner answered within an election time. Conclusion: a loss within one election time can still slip in; noted.

--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -11,7 +11,8 @@
 	return m.change(now, m.members.With(mem))
 }
 
-// Promote makes a learner a voter, once it has on disk all that is committed.
+// Promote makes a learner a voter, once it has on disk all that is committed and
+// has answered lately: a dead voter would only weaken the quorum.
 func (m *Machine) Promote(now time.Time, id MemberID) (uint64, error) {
 	mem, ok := m.members.Find(id)
 	if !ok {
@@ -20,8 +21,11 @@
 	if mem.Voter {
 		return m.membersIndex, nil
 	}
-	if m.role == Leader && m.progress(id, now).match < m.commit {
-		return 0, &BehindError{Member: id, Match: m.progress(id, now).match, Commit: m.commit}
+	if m.role == Leader {
+		p := m.progress(id, now)
+		if p.match < m.commit || now.Sub(p.heard) >= m.election {
+			return 0, &BehindError{Member: id, Match: p.match, Commit: m.commit}
+		}
 	}
 	mem.Voter = true
 	return m.change(now, m.members.With(mem))
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -236,3 +236,21 @@
 	g.learnerOnly()
 	g.finish()
 }
+
+func TestSilentLearnerIsNotPromoted(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(3, t.Fatalf)
+	g.settle(40)
+	fresh := &host{id: 9}
+	g.hosts = append(g.hosts, fresh)
+	g.start(fresh)
+	l := g.leader()
+	g.do(l, func(m *raft.Machine) { _, _ = m.AddLearner(g.now, raft.Member{ID: fresh.id}) })
+	g.settle(10)
+	g.crash(fresh)
+	g.settle(10)
+	g.do(l, func(m *raft.Machine) {
+		_, err := m.Promote(g.now, fresh.id)
+		is.True(err != nil) // it has the log, but has not answered lately
+	})
+}
