Read a command's document in one place; drop test state that nothing sets

Cause: read in review: check, diff and apply each read and checked a document by the same lines; the budget test's dead flag was never set, and the log test's versions never read. Change: oneDocument serves the three; the two are gone. No assertion changed.

--- a/commands/apply.go
+++ b/commands/apply.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 
-	"dotterelgap/core/config"
 	"dotterelgap/io/admin"
 
 	"github.com/google/uuid"
@@ -32,13 +31,10 @@
 		FlagSet: fs,
 		Options: env(),
 		Exec: func(ctx context.Context, args []string) error {
-			name, data, err := oneFile(args)
+			name, data, _, err := oneDocument(args)
 			if err != nil {
 				return err
 			}
-			if _, err := config.Parse(name, data); err != nil {
-				return err
-			}
 			req := admin.ApplyRequest{ChangeID: *change, Base: uint64(max(*base, 0)), File: name, Document: string(data)}
 			return t.apply(ctx, &o, req, *base < 0)
 		},
--- a/commands/check.go
+++ b/commands/check.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"dotterelgap/core/config"
-
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
@@ -24,11 +22,7 @@
 		FlagSet: fs,
 		Options: env(),
 		Exec: func(_ context.Context, args []string) error {
-			name, data, err := oneFile(args)
-			if err != nil {
-				return err
-			}
-			doc, err := config.Parse(name, data)
+			name, _, doc, err := oneDocument(args)
 			if err != nil {
 				return err
 			}
--- a/commands/diff.go
+++ b/commands/diff.go
@@ -28,11 +28,7 @@
 		FlagSet: fs,
 		Options: env(),
 		Exec: func(ctx context.Context, args []string) error {
-			name, data, err := oneFile(args)
-			if err != nil {
-				return err
-			}
-			doc, err := config.Parse(name, data)
+			_, _, doc, err := oneDocument(args)
 			if err != nil {
 				return err
 			}
--- a/commands/operator.go
+++ b/commands/operator.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"dotterelgap/core/config"
 	"dotterelgap/io/admin"
 
 	"github.com/gravitational/trace"
@@ -54,6 +55,16 @@
 	return args[0], data, nil
 }
 
+// oneDocument reads and checks the one document that is named.
+func oneDocument(args []string) (name string, data []byte, doc config.Document, err error) {
+	name, data, err = oneFile(args)
+	if err != nil {
+		return name, data, doc, err
+	}
+	doc, err = config.Parse(name, data)
+	return name, data, doc, err
+}
+
 func printCustomer(t *terminal, c admin.CustomerReply) {
 	t.printf("customer %s: paid %d, billed %d, free %d, granted %d (of that spent %d)\n",
 		c.Name, c.Paid, c.Billed, c.Free, c.Granted, c.Spent)
--- a/core/ledger/budget_test.go
+++ b/core/ledger/budget_test.go
@@ -141,7 +141,7 @@
 }
 
 func (w *world) request(e *entryNode, j *job) {
-	if e.dead || e.frozen {
+	if e.frozen {
 		return
 	}
 	j.id, j.life = w.next("job"), j.agent.id
@@ -277,7 +277,7 @@
 func (w *world) stepResolve(t *rapid.T) {
 	e := pick(t, "entry", w.entries)
 	for _, id := range sortedJobs(e) {
-		if j := e.jobs[id]; j.sent && !j.over && !e.frozen && !e.dead {
+		if j := e.jobs[id]; j.sent && !j.over && !e.frozen {
 			w.resolve(e, j)
 		}
 	}
@@ -306,7 +306,7 @@
 func (w *world) stepResend(t *rapid.T) {
 	e := pick(t, "entry", w.entries)
 	for _, id := range sortedJobs(e) {
-		if j := e.jobs[id]; j.sent && !j.over && !e.frozen && !e.dead {
+		if j := e.jobs[id]; j.sent && !j.over && !e.frozen {
 			w.dispatch(e, j)
 		}
 	}
--- a/core/ledger/world_test.go
+++ b/core/ledger/world_test.go
@@ -67,7 +67,6 @@
 	holder *escrow.Holder
 	jobs   map[string]*job
 	skew   time.Duration
-	dead   bool
 	frozen bool
 }
 
@@ -127,7 +126,7 @@
 	opts.SliceDivisor = 4
 	e.holder = escrow.NewHolder(e.id, e.place, opts)
 	e.jobs = map[string]*job{}
-	e.dead, e.frozen = false, false
+	e.frozen = false
 }
 
 func (w *world) startAgent(a *agentNode) {
@@ -164,7 +163,7 @@
 
 // act feeds an input to an entry's holder and sends what it wants sent.
 func (w *world) act(e *entryNode, f func(now time.Time, fx *escrow.Effects)) {
-	if e.dead || e.frozen {
+	if e.frozen {
 		return
 	}
 	var fx escrow.Effects
@@ -281,7 +280,7 @@
 
 // finish books an attempt at the holder, once.
 func (w *world) finish(e *entryNode, j *job, used escrow.Tokens) {
-	if j.over || e.dead || e.frozen {
+	if j.over || e.frozen {
 		return
 	}
 	j.over = true
--- a/core/raft/group_test.go
+++ b/core/raft/group_test.go
@@ -28,23 +28,22 @@
 
 // group is members over a network that loses, repeats, reorders and cuts.
 type group struct {
-	now      time.Time
-	hosts    []*host
-	net      []raft.Message
-	cut      map[[2]raft.MemberID]bool
-	history  map[uint64][]byte        // the one history: what was applied at each index
-	leaders  map[uint64]raft.MemberID // per term
-	reads    map[uint64]uint64        // read id -> index that it must reach
-	acked    uint64                   // highest index that some host has applied
-	versions map[raft.MemberID]uint64 // highest index answered per reader
-	serial   uint64
-	fail     func(format string, args ...any)
+	now     time.Time
+	hosts   []*host
+	net     []raft.Message
+	cut     map[[2]raft.MemberID]bool
+	history map[uint64][]byte        // the one history: what was applied at each index
+	leaders map[uint64]raft.MemberID // per term
+	reads   map[uint64]uint64        // read id -> index that it must reach
+	acked   uint64                   // highest index that some host has applied
+	serial  uint64
+	fail    func(format string, args ...any)
 }
 
 func newGroup(n int, fail func(string, ...any)) *group {
 	g := &group{
 		now: time.Unix(1_000_000, 0), cut: map[[2]raft.MemberID]bool{}, history: map[uint64][]byte{},
-		leaders: map[uint64]raft.MemberID{}, reads: map[uint64]uint64{}, versions: map[raft.MemberID]uint64{}, fail: fail,
+		leaders: map[uint64]raft.MemberID{}, reads: map[uint64]uint64{}, fail: fail,
 	}
 	var ms raft.Membership
 	for i := range n {
