--- a/commands/control.go
+++ b/commands/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io/fs"
 	"net"
 	"net/http"
 	"net/netip"
@@ -103,12 +102,12 @@
 
 func startControl(ctx context.Context, p *process, s *Settings, ln net.Listener, bootstrap bool, stop context.CancelCauseFunc) (*controlRole, error) {
 	self := p.server.Addr()
-	store, id, saved, err := openFolder(ctx, p, s, self, bootstrap)
+	f, err := openFolder(ctx, p, s, self, bootstrap)
 	if err != nil {
 		return nil, err
 	}
 	h, err := ctrl.Start(ctrl.Deps{
-		Log: p.Log, Store: store, Identity: id, Saved: saved, Pool: p.pool, Addr: self,
+		Log: p.Log, Store: f.Store, Identity: f.Identity, Saved: f.Saved, Pool: p.pool, Addr: self,
 		Size: s.Size, FirstOperator: s.FirstOperator, Rand: p.rnd,
 		Fatal: func(err error) { stop(&diskFailedError{err}) },
 	})
@@ -127,70 +126,37 @@
 	joinCtx, cancel := context.WithCancel(ctx)
 	role.cancel = cancel
 	go func() { _ = role.http.Serve(ln) }()
-	if len(saved.Snapshot.Members.Members) == 0 {
-		go joinGroup(joinCtx, p.Log, client, raft.Member{ID: id.Member, Addr: self})
+	if !f.Member() {
+		go ctrl.Join(joinCtx, p.Log, client, raft.Member{ID: f.Identity.Member, Addr: self})
 	}
 	return role, nil
 }
 
 // openFolder opens the data folder, or makes one for a new member.
-func openFolder(ctx context.Context, p *process, s *Settings, self netip.AddrPort, bootstrap bool) (*disk.Store, disk.Identity, raft.Saved, error) {
-	store, id, saved, err := disk.Open(disk.OS(), s.DataDir)
+func openFolder(ctx context.Context, p *process, s *Settings, self netip.AddrPort, bootstrap bool) (ctrl.Folder, error) {
+	f, err := ctrl.OpenFolder(disk.OS(), s.DataDir)
 	if err == nil {
 		if bootstrap {
 			p.Log.Info("control: the folder belongs to a group already; -bootstrap does nothing")
 		}
-		return store, id, saved, nil
+		return f, nil
 	}
-	if !errors.Is(err, fs.ErrNotExist) {
-		return nil, id, saved, err
+	if !ctrl.IsEmpty(err) {
+		return f, err
 	}
-	id = disk.Identity{Member: raft.MemberID(p.rnd.Uint64() | 1)}
-	var first raft.Snapshot
 	if bootstrap {
-		if err := refuseSecondGroup(ctx, p, s, self); err != nil {
-			return nil, id, saved, err
+		err := ctrl.RefuseSecondGroup(ctx, p.pool, s.controlAddrs(), self)
+		var exists *ctrl.GroupExistsError
+		if errors.As(err, &exists) {
+			return f, &UsageError{Message: exists.Error() + "; start without -bootstrap to join it"}
 		}
-		first = raft.Bootstrap(raft.Member{ID: id.Member, Addr: self}).Snapshot
-	}
-	if err := disk.Create(disk.OS(), s.DataDir, id, first); err != nil {
-		return nil, id, saved, err
-	}
-	p.Log.Info("control: new data folder", zap.String("member", fmt.Sprintf("%x", uint64(id.Member))))
-	return disk.Open(disk.OS(), s.DataDir)
-}
-
-// refuseSecondGroup keeps a host that lost its folder from forming a group
-// beside the one that it belonged to.
-func refuseSecondGroup(ctx context.Context, p *process, s *Settings, self netip.AddrPort) error {
-	for _, addr := range s.controlAddrs() {
-		if addr == self {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(ctx, time.Second)
-		var exists bool
-		err := p.pool.Call(ctx, addr, "Control.Exists", &wire.Empty{}, &exists)
-		cancel()
-		if err == nil && exists {
-			return &UsageError{Message: fmt.Sprintf("%s belongs to a group already; start without -bootstrap to join it", addr)}
+		if err != nil {
+			return f, err
 		}
 	}
-	return nil
-}
-
-// joinGroup asks the group to take this host in, until it is a member.
-func joinGroup(ctx context.Context, log *zap.Logger, client *ctrl.Client, self raft.Member) {
-	for ctx.Err() == nil {
-		try, cancel := context.WithTimeout(ctx, 2*time.Second)
-		reply, err := ctrl.Call[wire.JoinReply](try, client, "Control.Join", &wire.JoinArgs{Member: self})
-		cancel()
-		if err == nil && reply.Voter {
-			log.Info("control: this host votes now")
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(200 * time.Millisecond):
-		}
+	f, err = ctrl.MakeFolder(disk.OS(), s.DataDir, p.rnd, self, bootstrap)
+	if err == nil {
+		p.Log.Info("control: new data folder", zap.String("member", fmt.Sprintf("%x", uint64(f.Identity.Member))))
 	}
+	return f, err
 }
--- /dev/null
+++ b/commands/node.go
@@ -0,0 +1,163 @@
+package commands
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"dotterelgap/io/node"
+	"dotterelgap/io/telem"
+	"dotterelgap/io/wire"
+	"dotterelgap/platform"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+)
+
+// Times of a node's stop.
+const (
+	// leaveNotice is how long a node that leaves goes on taking requests: the
+	// balancer asks once a second and needs two answers.
+	leaveNotice = 2500 * time.Millisecond
+	// stopMargin is kept of the stop's bound for the end of the process.
+	stopMargin = 500 * time.Millisecond
+)
+
+func newNode(t *terminal) *ffcli.Command {
+	fs := newFlagSet(t, "dotterelgap node")
+	file := fs.String("config", "", "settings file, JSON with comments")
+	return &ffcli.Command{
+		Name:       "node",
+		ShortUsage: "dotterelgap node -config FILE",
+		ShortHelp:  "serves callers, calls upstreams directly, and keeps control state where it has a folder",
+		LongHelp: help(`
+Serves callers and calls upstreams itself, without agents beside them. Nodes find
+each other from a few seeds. A node with a data folder can be a control host. On
+SIGTERM it turns unready, finishes what is in progress, gives its budgets back
+and ends. SIGHUP makes it read its settings again.
+
+Example:
+  dotterelgap node -config /etc/dotterelgap/node.json
+`),
+		FlagSet: fs,
+		Options: env(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			if *file == "" {
+				return &UsageError{Message: "needs -config"}
+			}
+			return runNode(ctx, *file)
+		},
+	}
+}
+
+func runNode(ctx context.Context, file string) error {
+	s, err := readNodeSettings(file)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(s.memoryLimit())
+	t, err := telem.Start(s.telemetry(), "node")
+	if err != nil {
+		return err
+	}
+	t.Log = t.Log.With(zap.String("node", s.Name))
+	n, err := startNode(t, s)
+	if err != nil {
+		return err
+	}
+	t.Log.Info("node: listening", zap.Stringer("callers", s.Listen), zap.Stringer("internal", s.Internal))
+	followSettings(ctx, t.Log, file, n)
+	t.Log.Info("node: stopping")
+	bound, cancel := context.WithTimeout(context.Background(), s.StopTimeout.Std()-stopMargin)
+	defer cancel()
+	_, err = n.Close(bound)
+	t.Log.Info("node: stopped", zap.Error(err))
+	return trace.NewAggregate(err, t.Close())
+}
+
+func startNode(t *telem.Telemetry, s *NodeSettings) (*node.Node, error) {
+	server, err := wire.Listen(wire.Params{Addr: s.Internal.AddrPort, Log: t.Log})
+	if err != nil {
+		return nil, err
+	}
+	deps := node.Deps{
+		Log: t.Log, Pool: wire.NewPool(nil), Server: server, Rand: newRand(), Place: s.place(), Seeds: s.seeds(),
+		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Size: s.size(), Retry: s.retry(), Quota: s.quota(),
+		LeaveNotice: leaveNotice,
+		Interface: node.Interface{
+			Dialect: platform.Dialect(), Decode: platform.DecodePolicy,
+			API:   func(n *node.Node) http.Handler { return platform.Control(n) },
+			Ready: func(n *node.Node) http.Handler { return platform.Ready(n) },
+		},
+	}
+	if deps.Callers, err = listen(s.Listen.String()); err != nil {
+		return nil, err
+	}
+	if s.API.IsValid() {
+		if deps.API, err = listen(s.API.String()); err != nil {
+			return nil, err
+		}
+	}
+	if s.Ready.IsValid() {
+		if deps.Ready, err = listen(s.Ready.String()); err != nil {
+			return nil, err
+		}
+	}
+	return node.Start(deps)
+}
+
+func listen(addr string) (net.Listener, error) {
+	ln, err := net.Listen("tcp4", addr)
+	return ln, trace.Wrap(err)
+}
+
+// settingsInterval is the time between two looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// followSettings reads the settings again when they change, until ctx ends. Of a
+// running node only the seeds can be changed.
+func followSettings(ctx context.Context, log *zap.Logger, file string, n *node.Node) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	read := modTime(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-ticker.C:
+			if modTime(file).Equal(read) {
+				continue
+			}
+		}
+		read = modTime(file)
+		s, err := readNodeSettings(file)
+		if err != nil {
+			log.Error("node: the settings are refused, the former ones hold", zap.Error(err))
+			continue
+		}
+		n.SetSeeds(s.seeds())
+		log.Info("node: settings read again")
+	}
+}
+
+func modTime(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/commands/node_settings.go
@@ -0,0 +1,137 @@
+package commands
+
+import (
+	"math"
+	"net/netip"
+	"os"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/parse"
+	"dotterelgap/core/quota"
+	"dotterelgap/io/front"
+	"dotterelgap/io/telem"
+)
+
+// NodeSettings are the settings of a node, from a file of JSON with comments.
+type NodeSettings struct {
+	// Name is the host's name, for logs.
+	Name string `json:"name"`
+	// Place is the data centre that the node runs in.
+	Place string `json:"place"`
+	// Listen is for callers, Ready for the balancer's question, API for operators
+	// and upstreams, Internal for the system's own processes.
+	Listen   parse.Addr `json:"listen"`
+	Ready    parse.Addr `json:"ready"`
+	API      parse.Addr `json:"api"`
+	Internal parse.Addr `json:"internal"`
+	// Seeds are the API addresses of nodes that are known beforehand. The port of
+	// their internal addresses is this node's.
+	Seeds []parse.Addr `json:"seeds"`
+	// DataDir is the data folder of a node that can be a control host.
+	DataDir string `json:"data_dir"`
+	// Bootstrap is set at the very first start of the whole system.
+	Bootstrap bool `json:"bootstrap"`
+	// TolerateHosts, ToleratePlaces and TolerateRegions are the losses at one time
+	// that the control group must outlive.
+	TolerateHosts   int `json:"tolerate_hosts"`
+	ToleratePlaces  int `json:"tolerate_places"`
+	TolerateRegions int `json:"tolerate_regions"`
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int `json:"memory_mb"`
+	// StopTimeout is the time after which a process that was told to stop is
+	// killed.
+	StopTimeout parse.Duration `json:"stop_timeout"`
+	// RetryRatio, RetryBurst and RetryWindow bound repeats over all nodes.
+	RetryRatio  float64        `json:"retry_ratio"`
+	RetryBurst  float64        `json:"retry_burst"`
+	RetryWindow parse.Duration `json:"retry_window"`
+	LogLevel    string         `json:"log_level"`
+}
+
+// Limits of a node's settings.
+const (
+	maxTolerate = 3
+	// memoryShare is the share of the memory at which the runtime collects
+	// garbage harder.
+	memoryShare = 0.75
+)
+
+// readNodeSettings reads and checks a settings file; the error names all
+// mistakes.
+func readNodeSettings(file string) (*NodeSettings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &UsageError{Message: err.Error()}
+	}
+	s := &NodeSettings{
+		StopTimeout: parse.Duration(10 * time.Second), TolerateHosts: 1, LogLevel: "info",
+		RetryRatio: 0.2, RetryBurst: 50, RetryWindow: parse.Duration(10 * time.Second),
+	}
+	ps := parse.Into(file, data, s)
+	s.check(ps)
+	return s, ps.Err()
+}
+
+func (s *NodeSettings) check(ps *parse.Problems) {
+	if s.Place == "" {
+		ps.Add("place", "is needed")
+	}
+	if !s.Listen.IsValid() {
+		ps.Add("listen", "is needed")
+	}
+	if !s.Internal.IsValid() {
+		ps.Add("internal", "is needed")
+	}
+	for _, n := range []struct {
+		key   string
+		value int
+	}{{"tolerate_hosts", s.TolerateHosts}, {"tolerate_places", s.ToleratePlaces}, {"tolerate_regions", s.TolerateRegions}} {
+		if n.value < 0 || n.value > maxTolerate {
+			ps.Add(n.key, "must be from 0 to %d", maxTolerate)
+		}
+	}
+	if s.MemoryMB < 0 {
+		ps.Add("memory_mb", "must not be below 0")
+	}
+	if s.StopTimeout <= 0 {
+		ps.Add("stop_timeout", "must be above 0")
+	}
+	if s.RetryRatio < 0 || s.RetryBurst < 0 || s.RetryWindow <= 0 {
+		ps.Add("retry_ratio", "the retry budget must not be below 0")
+	}
+}
+
+// size is the number of control hosts that vote.
+func (s *NodeSettings) size() int {
+	return 2*max(s.TolerateHosts, s.ToleratePlaces, s.TolerateRegions) + 1
+}
+
+// seeds are the internal addresses of the seeds.
+func (s *NodeSettings) seeds() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range s.Seeds {
+		out = append(out, netip.AddrPortFrom(a.Addr(), s.Internal.Port()))
+	}
+	return out
+}
+
+// memoryLimit is the runtime's soft limit in bytes.
+func (s *NodeSettings) memoryLimit() int64 {
+	if s.MemoryMB == 0 {
+		return math.MaxInt64
+	}
+	return int64(memoryShare * float64(s.MemoryMB) * (1 << 20))
+}
+
+func (s *NodeSettings) retry() front.RetryOptions {
+	return front.RetryOptions{Ratio: s.RetryRatio, Burst: s.RetryBurst, Window: s.RetryWindow.Std()}
+}
+
+func (s *NodeSettings) quota() quota.Options { return quota.DefaultOptions() }
+
+func (s *NodeSettings) place() fleet.Place { return fleet.Place(s.Place) }
+
+func (s *NodeSettings) telemetry() telem.Settings {
+	return telem.Settings{LogLevel: s.LogLevel, LogFormat: "json"}
+}
--- /dev/null
+++ b/core/demand/rate.go
@@ -0,0 +1,50 @@
+// Package demand estimates rates.
+//
+// # Usage
+//
+//	r := demand.NewRate(3*time.Second, now)
+//	r.Add(now, 900)
+//	r.PerSecond(now)
+package demand
+
+import (
+	"math"
+	"time"
+)
+
+// Rate estimates a demand per second with exponential decay. While it is young
+// it divides by its age, so that a first burst is not taken as the rule.
+type Rate struct {
+	halfLife time.Duration
+	sum      float64
+	at       time.Time
+	since    time.Time
+}
+
+// NewRate returns an estimate that starts now.
+func NewRate(halfLife time.Duration, now time.Time) Rate {
+	return Rate{halfLife: halfLife, at: now, since: now}
+}
+
+func (r *Rate) decay(now time.Time) {
+	dt := now.Sub(r.at)
+	if dt <= 0 {
+		return
+	}
+	r.sum *= math.Exp2(-dt.Seconds() / r.halfLife.Seconds())
+	r.at = now
+}
+
+// Add counts n.
+func (r *Rate) Add(now time.Time, n float64) {
+	r.decay(now)
+	r.sum += n
+}
+
+// PerSecond returns the estimate.
+func (r *Rate) PerSecond(now time.Time) float64 {
+	r.decay(now)
+	age := max(now.Sub(r.since).Seconds(), 1)
+	tau := r.halfLife.Seconds() / math.Ln2
+	return r.sum / (tau * (1 - math.Exp(-age/tau)))
+}
--- a/core/escrow/holder.go
+++ b/core/escrow/holder.go
@@ -79,7 +79,7 @@
 		g.spent += spent[i].Amount
 	}
 	p := h.purse(r.customer, now)
-	p.rate.add(now, float64(used))
+	p.rate.Add(now, float64(used))
 	h.serve(now, p, fx)
 	h.closeDone(p, fx)
 }
@@ -252,7 +252,7 @@
 	}
 	have := p.ahead()
 	need := p.lacks(have)
-	rate := p.rate.perSecond(now)
+	rate := p.rate.PerSecond(now)
 	stock := Tokens(math.Ceil(rate * h.opts.Horizon.Seconds()))
 	if need == 0 && (p.denied || !p.low(have, stock, h.opts.RefillBelow, regular)) {
 		return
--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"dotterelgap/core/demand"
 )
 
 // purse is all that a holder has and awaits for one customer.
@@ -9,7 +11,7 @@
 	customer string
 	grants   []*held
 	waiting  []waiting
-	rate     rate
+	rate     demand.Rate
 	seq      uint64
 	latest   GrantID
 	asking   bool
@@ -27,7 +29,7 @@
 	return &purse{
 		customer: customer,
 		seq:      1,
-		rate:     rate{halfLife: opts.RateHalfLife, at: now, since: now},
+		rate:     demand.NewRate(opts.RateHalfLife, now),
 	}
 }
 
@@ -74,7 +76,7 @@
 		if g.closing || g.preparing || g.lost || g.claimed == g.grant.Amount || g.target > g.claimed {
 			continue
 		}
-		slice := g.slice(p.rate.perSecond(now), opts)
+		slice := g.slice(p.rate.PerSecond(now), opts)
 		if lack <= 0 && g.free() >= slice/2 {
 			return
 		}
--- /dev/null
+++ b/core/quota/statement.go
@@ -0,0 +1,58 @@
+package quota
+
+import (
+	"net/netip"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+)
+
+// Tokens counts tokens of a budget.
+type Tokens = escrow.Tokens
+
+// Statement is a holder's word on all its allowances. It is cumulative, so a
+// resent or repeated one is harmless.
+type Statement struct {
+	Holder fleet.NodeID   `cbor:"1,keyasint"`
+	Addr   netip.AddrPort `cbor:"2,keyasint"`
+	// Seq orders the statements of a holder. Heard is the Seq of the latest one
+	// that the holder got an answer to.
+	Seq   uint64  `cbor:"3,keyasint"`
+	Heard uint64  `cbor:"4,keyasint"`
+	Uses  []Usage `cbor:"5,keyasint"`
+	// Left is set by a holder that ends and spends nothing more.
+	Left bool `cbor:"6,keyasint,omitempty"`
+	// Prompt is set by the control group's leader where the holder, if it
+	// replaces an earlier one at its address, follows it within CutOff.
+	Prompt bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Usage is a holder's word on one customer.
+type Usage struct {
+	Customer string `cbor:"1,keyasint"`
+	// Spent is all that was spent, Reserved what requests in progress may still
+	// spend.
+	Spent    Tokens `cbor:"2,keyasint"`
+	Reserved Tokens `cbor:"3,keyasint"`
+	// Mark asks for this mark. Below the present one it gives back.
+	Mark Tokens `cbor:"4,keyasint"`
+	// Limit gives back what the allowance has above it; 0 gives back nothing.
+	Limit Tokens `cbor:"5,keyasint"`
+	// Need is the worst case of a request that the allowance did not cover.
+	Need Tokens `cbor:"6,keyasint"`
+	// Rate is the demand in tokens per second.
+	Rate float64 `cbor:"7,keyasint"`
+}
+
+// Allowance is the ledger's answer for one customer.
+type Allowance struct {
+	Customer string
+	// Unbounded is set where the customer has no prepaid amount.
+	Unbounded bool
+	Granted   Tokens
+	Mark      Tokens
+	// Fair asks the holder to give back what it has above it; 0 asks nothing.
+	Fair Tokens
+	// Unspent is what the customer has left over all holders, as far as known.
+	Unspent Tokens
+}
--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -65,3 +65,11 @@
 	p, ok := m.peers[id]
 	return ok && p.match >= m.commit
 }
+
+// Silence is how long a member has not answered this leader.
+func (m *Machine) Silence(now time.Time, id MemberID) time.Duration {
+	if m.role != Leader || id == m.self {
+		return 0
+	}
+	return now.Sub(m.progress(id, now).heard)
+}
--- /dev/null
+++ b/core/sched/doc.go
@@ -0,0 +1,15 @@
+// Package sched decides where a request runs when entries call upstreams
+// directly: which upstream, when another try is allowed, and which upstreams are
+// left out for a while. Many entries decide on the same fleet without talking,
+// so what they agree on comes from hashing alone.
+//
+// All types are pure: no I/O, no clock and no randomness of their own.
+//
+// # Usage
+//
+//	b := sched.New(sched.DefaultOptions(), "sialkot")
+//	b.SetUpstreams(now, ups)
+//	u, ok := b.Pick(now, sched.Query{Service: "desk", Parts: parts, Input: 900})
+//	b.Started(now, u.ID, q)
+//	b.Ended(now, u.ID, q, sched.Served)
+package sched
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -7,6 +7,7 @@
 	"dotterelgap/core/escrow"
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/ledger"
+	"dotterelgap/core/quota"
 )
 
 // Command is one step of the state machine. Exactly one of its pointers or
@@ -28,6 +29,17 @@
 	Claim    *Claim            `cbor:"claim,omitempty"`
 	Finish   *FinishClaim      `cbor:"finish,omitempty"`
 	Order    *Order            `cbor:"order,omitempty"`
+	Publish  *Publish          `cbor:"publish,omitempty"`
+	Quota    *quota.Statement  `cbor:"quota,omitempty"`
+}
+
+// Publish proposes a routing policy. The highest number is in force.
+type Publish struct {
+	Number uint64 `cbor:"number"`
+	// Data is the policy as its operator wrote it.
+	Data []byte `cbor:"data"`
+	// Prepaid are the customers' prepaid tokens, as the policy says.
+	Prepaid map[string]escrow.Tokens `cbor:"prepaid"`
 }
 
 // ApplyConfig proposes the next version of the configuration.
@@ -72,5 +84,10 @@
 	Claim   *ClaimAnswer
 	Order   uint64
 	Joined  escrow.GrantID
-	Err     error
+	// Published is the number in force after a Publish.
+	Published  uint64
+	Allowances []quota.Allowance
+	// Ended says that the statement came from a holder that was ended.
+	Ended bool
+	Err   error
 }
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -8,6 +8,7 @@
 
 	"dotterelgap/core/config"
 	"dotterelgap/core/ledger"
+	"dotterelgap/core/quota"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -26,6 +27,9 @@
 	Orders    map[string]OrderRecord    `cbor:"orders"`
 	NextOrder uint64                    `cbor:"next_order"`
 	SweptAt   time.Time                 `cbor:"swept_at"`
+	// Policy is the routing policy in force; its number is 0 before the first.
+	Policy Published     `cbor:"policy"`
+	Quota  *quota.Ledger `cbor:"quota"`
 
 	// doc is Config put together, derived.
 	doc config.Document
@@ -40,6 +44,7 @@
 		Ledger:  ledger.New(),
 		Claims:  map[ClaimKey]*ClaimRecord{},
 		Orders:  map[string]OrderRecord{},
+		Quota:   quota.NewLedger(),
 	}
 }
 
@@ -71,6 +76,10 @@
 		return Result{Joined: m.Ledger.NextGrant}
 	case c.Leave != nil:
 		m.Ledger.Leave(c.Leave.Agent, c.Leave.Reports)
+	case c.Publish != nil:
+		return Result{Published: m.publish(*c.Publish)}
+	case c.Quota != nil:
+		return m.account(c.At, *c.Quota)
 	case c.Retire != "":
 		m.Ledger.Retire(c.Retire)
 	default:
@@ -171,6 +180,7 @@
 		return fmt.Errorf("decoding a snapshot: %w", err)
 	}
 	next.Ledger.Restore()
+	next.Quota.Restore()
 	for _, r := range next.ClaimList {
 		next.Claims[r.ClaimKey] = r
 	}
--- a/io/ctrl/admin.go
+++ b/io/ctrl/admin.go
@@ -40,10 +40,14 @@
 
 // Admin answers an operator's request at the leader.
 func (s *Service) Admin(args *AdminArgs, reply *AdminReply) error {
-	if reply.Hint = s.h.confirm(); reply.NotLeader {
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	if reply.Hint = h.confirm(); reply.NotLeader {
 		return nil
 	}
-	result, err := s.h.administer(args)
+	result, err := h.administer(args)
 	var lost *lostError
 	if errors.As(err, &lost) {
 		reply.NotLeader = true
--- a/io/ctrl/duty.go
+++ b/io/ctrl/duty.go
@@ -10,6 +10,8 @@
 	"dotterelgap/core/raft"
 	"dotterelgap/core/state"
 	"dotterelgap/io/wire"
+
+	"go.uber.org/zap"
 )
 
 // duty is what only a leader keeps, in memory: who is alive, what agents said
@@ -25,6 +27,8 @@
 	proposed map[escrow.GrantID]time.Time
 	roster   *wire.Roster
 	builtFor uint64
+	// contacts holds when the quota's holders were last heard.
+	contacts map[fleet.NodeID]*contact
 }
 
 // proposeAgain is the time after which an unanswered proposal is repeated.
@@ -44,6 +48,7 @@
 	d.denied = map[fleet.NodeID]map[string]escrow.Tokens{}
 	d.proposed = map[escrow.GrantID]time.Time{}
 	d.roster = nil
+	d.forgetContacts()
 }
 
 func (d *duty) report(r escrow.Report) {
@@ -146,6 +151,9 @@
 	h.settleDead(now)
 	h.advanceSettling(now)
 	h.promoteJoined(now)
+	if h.deps.Replace {
+		h.replaceSilent(now)
+	}
 }
 
 // settleDead starts to take back the grants of holders that are silent.
@@ -204,3 +212,25 @@
 		}
 	}
 }
+
+// Silences after which a leader takes members out by itself.
+const (
+	voterSilence   = 3 * time.Second
+	learnerSilence = 30 * time.Second
+)
+
+// replaceSilent takes out a silent voter once a learner could stand in for it,
+// and learners that never come back.
+func (h *Host) replaceSilent(now time.Time) {
+	status := h.machine.Status()
+	ready := h.learnerReady(now, status)
+	for _, m := range status.Members.Members {
+		silence := h.machine.Silence(now, m.ID)
+		if (m.Voter && ready && silence > voterSilence) || (!m.Voter && silence > learnerSilence) {
+			_, err := h.machine.Remove(now, m.ID)
+			h.log.Info("control: a silent member is taken out", zap.Stringer("addr", m.Addr),
+				zap.Bool("voter", m.Voter), zap.Duration("silence", silence), zap.Error(err))
+			return
+		}
+	}
+}
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -42,6 +42,15 @@
 	FirstOperator config.Digest
 	Rand          *rand.Rand
 	Election      time.Duration
+	// CutOff is the time without control after which holders of quotas use
+	// their reserve; see core/quota.
+	CutOff time.Duration
+	// Replace lets the leader take out voters that are silent, once another host
+	// can stand in, and learners that never come back.
+	Replace bool
+	// OnPolicy is called, on the host's loop, with each routing policy that is
+	// in force from now on.
+	OnPolicy func(state.Published)
 	// Fatal is called once the disk has failed; the process must end then.
 	Fatal func(error)
 }
@@ -98,6 +107,9 @@
 		duty:    newDuty(fleet.NewPresence(suspectAfter)),
 		metrics: newMetrics(),
 	}
+	if h.deps.OnPolicy == nil {
+		h.deps.OnPolicy = func(state.Published) {}
+	}
 	if err := h.restore(deps.Saved.Snapshot); err != nil {
 		return nil, err
 	}
@@ -118,7 +130,11 @@
 	if len(s.Data) == 0 {
 		return nil
 	}
-	return trace.Wrap(h.state.Restore(s.Data))
+	if err := h.state.Restore(s.Data); err != nil {
+		return trace.Wrap(err)
+	}
+	h.deps.OnPolicy(h.state.Policy)
+	return nil
 }
 
 // run is the loop that owns the state.
@@ -218,7 +234,12 @@
 		h.log.Error("control: entry can't be decoded", zap.Uint64("index", e.Index), zap.Error(err))
 		return state.Result{Err: err}
 	}
-	return h.state.Apply(c)
+	before := h.state.Policy.Number
+	res := h.state.Apply(c)
+	if h.state.Policy.Number > before {
+		h.deps.OnPolicy(h.state.Policy)
+	}
+	return res
 }
 
 func (h *Host) answerReads(reads []raft.Read) {
--- /dev/null
+++ b/io/ctrl/policy.go
@@ -0,0 +1,51 @@
+package ctrl
+
+import (
+	"time"
+
+	"dotterelgap/core/state"
+	"dotterelgap/io/wire"
+)
+
+// Publish puts a routing policy in force, if its number is the highest. It
+// waits until the group could lose as many hosts as its size allows.
+func (s *Service) Publish(args *state.Publish, reply *wire.PublishReply) error {
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	if !h.complete() {
+		reply.NotLeader = true
+		return nil
+	}
+	res, hint := h.commit(state.Command{Publish: args})
+	reply.Hint, reply.Number = hint, res.Published
+	return nil
+}
+
+// complete tells whether the group has once had as many voters as it should, so
+// that what it accepts outlives the loss of a host.
+func (h *Host) complete() bool {
+	full := false
+	h.view(func(time.Time) { full = h.machine.Status().Members.Voters() > h.deps.Size/2 })
+	return full
+}
+
+// Policy returns the routing policy in force, confirmed by a quorum.
+func (s *Service) Policy(args *wire.PolicyArgs, reply *wire.PolicyReply) error {
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	if reply.Hint = h.confirm(); reply.NotLeader {
+		return nil
+	}
+	if !h.view(func(time.Time) { reply.Policy = h.state.Policy }) {
+		reply.NotLeader = true
+		return nil
+	}
+	if reply.Policy.Number == args.Have {
+		reply.Policy.Data = nil
+	}
+	return nil
+}
--- a/io/ctrl/report.go
+++ b/io/ctrl/report.go
@@ -168,7 +168,7 @@
 		return admin.ReplaceReply{Message: "the leader itself can't be taken for lost"}
 	}
 	if _, member := status.Members.Find(lost); member {
-		if !h.learnerReady(status) {
+		if !h.learnerReady(now, status) {
 			return admin.ReplaceReply{Message: "waits for a new host to join and to catch up"}
 		}
 		if _, err := h.machine.Remove(now, lost); err != nil {
@@ -190,9 +190,10 @@
 	return admin.ReplaceReply{Complete: true, Message: "the group could lose any other host now"}
 }
 
-func (h *Host) learnerReady(s raft.Status) bool {
+// learnerReady tells whether a learner that answers has all that is committed.
+func (h *Host) learnerReady(now time.Time, s raft.Status) bool {
 	for _, m := range s.Members.Members {
-		if !m.Voter && s.Match[m.ID] >= s.Commit {
+		if !m.Voter && s.Match[m.ID] >= s.Commit && h.machine.Silence(now, m.ID) < raft.DefaultElection {
 			return true
 		}
 	}
--- a/io/ctrl/service.go
+++ b/io/ctrl/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"dotterelgap/core/escrow"
@@ -10,21 +11,48 @@
 	"dotterelgap/core/raft"
 	"dotterelgap/core/state"
 	"dotterelgap/io/wire"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 )
 
 // Service is the net/rpc service "Control" of a host.
 type Service struct {
-	h *Host
+	host atomic.Pointer[Host]
+}
+
+// NewService returns the service of a host; nil while there is none.
+func NewService(h *Host) *Service {
+	s := &Service{}
+	s.Set(h)
+	return s
+}
+
+// Set replaces the host that the service speaks for.
+func (s *Service) Set(h *Host) { s.host.Store(h) }
+
+func (s *Service) running() (*Host, error) {
+	if h := s.host.Load(); h != nil {
+		return h, nil
+	}
+	return nil, trace.Wrap(&StoppedError{})
 }
 
-// NewService returns the service of a host.
-func NewService(h *Host) *Service { return &Service{h: h} }
+// StoppedError says that no control host runs in the process at present.
+type StoppedError struct{}
+
+// Error implements error.
+func (*StoppedError) Error() string { return "the control host is not running" }
 
 // Raft takes in a message of the replicated log. Where the queue is full the
 // message is dropped, as a network might.
 func (s *Service) Raft(args *RaftArgs, _ *wire.Empty) error {
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
 	select {
-	case s.h.queue <- func(now time.Time) { s.h.step(now, *args) }:
+	case h.queue <- func(now time.Time) { h.step(now, *args) }:
 	default:
 	}
 	return nil
@@ -44,7 +72,10 @@
 
 // Beat takes in a process's announcement and returns what it lacks.
 func (s *Service) Beat(args *wire.BeatArgs, reply *wire.BeatReply) error {
-	h := s.h
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
 	if args.Node.Role == fleet.RoleAgent && !args.Left {
 		if reply.Hint = h.ensureJoined(args.Node); reply.NotLeader {
 			return nil
@@ -134,8 +165,12 @@
 
 // Budget takes in a holder's refills and statements.
 func (s *Service) Budget(args *wire.BudgetArgs, reply *wire.BudgetReply) error {
-	s.h.markAway(args.Refills)
-	res, hint := s.h.commit(state.Command{Refills: args.Refills, Spends: args.Spends, Closes: args.Closes})
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	h.markAway(args.Refills)
+	res, hint := h.commit(state.Command{Refills: args.Refills, Spends: args.Spends, Closes: args.Closes})
 	reply.Hint = hint
 	reply.Answers = res.Answers
 	if hint.NotLeader {
@@ -145,9 +180,9 @@
 	for _, a := range res.Answers {
 		recalls = append(recalls, a.Recalls...)
 	}
-	s.h.view(func(time.Time) {
-		s.h.duty.recall(s.h.state.Ledger, recalls)
-		s.h.duty.noteDenials(args.Refills, res.Answers)
+	h.view(func(time.Time) {
+		h.duty.recall(h.state.Ledger, recalls)
+		h.duty.noteDenials(args.Refills, res.Answers)
 	})
 	return nil
 }
@@ -169,7 +204,11 @@
 
 // Claim binds work that must not repeat to an agent.
 func (s *Service) Claim(args *state.Claim, reply *wire.ClaimReply) error {
-	res, hint := s.h.commit(state.Command{Claim: args})
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	res, hint := h.commit(state.Command{Claim: args})
 	reply.Hint = hint
 	if res.Claim != nil {
 		reply.Answer = *res.Claim
@@ -179,23 +218,24 @@
 
 // Finish records what claimed work came to.
 func (s *Service) Finish(args *state.FinishClaim, reply *wire.ClaimReply) error {
-	_, reply.Hint = s.h.commit(state.Command{Finish: args})
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	_, reply.Hint = h.commit(state.Command{Finish: args})
 	return nil
 }
 
-// Join adds a control host as a learner.
+// Join adds a control host as a learner. A member that was at its address has
+// lost its folder, and is taken out first.
 func (s *Service) Join(args *wire.JoinArgs, reply *wire.JoinReply) error {
-	ok := s.h.view(func(now time.Time) {
-		reply.Hint = s.h.hint()
-		if reply.NotLeader {
-			return
-		}
-		if m, ok := s.h.machine.Status().Members.Find(args.Member.ID); ok {
-			reply.Voter = m.Voter
-			return
-		}
-		if _, err := s.h.machine.AddLearner(now, args.Member); err != nil {
-			reply.NotLeader = true
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	ok := h.view(func(now time.Time) {
+		if reply.Hint = h.hint(); !reply.NotLeader {
+			h.join(now, args.Member, reply)
 		}
 	})
 	if !ok {
@@ -204,9 +244,31 @@
 	return nil
 }
 
+func (h *Host) join(now time.Time, m raft.Member, reply *wire.JoinReply) {
+	members := h.machine.Status().Members
+	if known, ok := members.Find(m.ID); ok && known.Addr == m.Addr {
+		reply.Member, reply.Voter = true, known.Voter
+		return
+	}
+	for _, old := range members.Members {
+		if old.Addr == m.Addr && old.ID != m.ID {
+			_, err := h.machine.Remove(now, old.ID)
+			h.log.Info("control: a host came back without its folder", zap.Stringer("addr", m.Addr), zap.Error(err))
+			return
+		}
+	}
+	if _, err := h.machine.AddLearner(now, m); err != nil {
+		h.log.Info("control: a host can't join yet", zap.Stringer("addr", m.Addr), zap.Error(err))
+	}
+}
+
 // Exists tells whether this host is a member of a group with a configuration
 // or peers, so that nobody bootstraps a second one beside it.
 func (s *Service) Exists(_ *wire.Empty, reply *bool) error {
-	s.h.view(func(time.Time) { *reply = len(s.h.machine.Status().Members.Members) > 0 })
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	h.view(func(time.Time) { *reply = len(h.machine.Status().Members.Members) > 0 })
 	return nil
 }
--- /dev/null
+++ b/io/front/call.go
@@ -0,0 +1,234 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/policy"
+	"dotterelgap/core/quota"
+	"dotterelgap/core/sched"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+)
+
+// call is one request of a caller, over all its attempts.
+type call struct {
+	f     *Front
+	w     http.ResponseWriter
+	r     *http.Request
+	start time.Time
+	table *policy.Table
+
+	id       string
+	route    *policy.Route
+	service  *policy.Service
+	customer string
+	terms    Terms
+	body     []byte
+	deadline time.Time
+
+	tried   []string
+	ran     bool // an upstream may have run it
+	billed  quota.Tokens
+	passed  bool // a part of the answer was passed on
+	lastErr error
+	stream  *relay
+}
+
+// ServeHTTP serves one request.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{f: f, w: w, r: r, start: time.Now(), id: r.Header.Get(f.deps.Dialect.RequestID)}
+	out := c.serve()
+	if out != nil && !c.passed {
+		if c.id != "" {
+			w.Header().Set(f.deps.Dialect.RequestID, c.id)
+		}
+		out.write(w)
+	}
+	c.logEnd(out)
+	if out != nil && c.passed {
+		// The answer is cut off: it must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *call) serve() *refusal {
+	if out := c.identify(); out != nil {
+		return out
+	}
+	if out := c.readBody(); out != nil {
+		return out
+	}
+	c.f.countRequest(c.service.Name)
+	if out := c.reserve(); out != nil {
+		return out
+	}
+	defer func() { c.f.deps.Budgets.Settle(c.id, c.billed) }()
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	return c.attempts(ctx)
+}
+
+// identify finds the route, the service and the customer.
+func (c *call) identify() *refusal {
+	c.table = c.f.table.Load()
+	if c.table == nil {
+		return errNoPolicy
+	}
+	var ok bool
+	if c.route, ok = c.table.Route(c.r.Host, c.r.URL.EscapedPath()); !ok {
+		return errNoRoute
+	}
+	c.terms = c.f.deps.Dialect.Parse(c.r.Header)
+	if c.table.HasCustomers() && !c.route.Public {
+		cu, ok := c.table.Customer(c.terms.Key)
+		if !ok {
+			return errNoKey
+		}
+		c.customer = cu.Name
+	}
+	if c.service, ok = c.table.Service(c.route.Service(xxhash.Sum64String(c.id))); !ok {
+		return errNoRoute
+	}
+	limit := c.route.Timeout
+	if c.terms.Deadline > 0 {
+		limit = min(limit, c.terms.Deadline)
+	}
+	c.deadline = c.start.Add(limit)
+	return nil
+}
+
+func (c *call) readBody() *refusal {
+	limit := c.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	if c.r.ContentLength > limit {
+		return errTooLarge
+	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	rd := http.MaxBytesReader(c.w, c.r.Body, limit)
+	var err error
+	if n := c.r.ContentLength; n > 0 {
+		c.body = make([]byte, n)
+		_, err = io.ReadFull(rd, c.body)
+	} else {
+		c.body, err = io.ReadAll(rd)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return errTooLarge
+	case err != nil:
+		return errBadBody
+	}
+	return nil
+}
+
+// worst is the most that the request may be billed.
+func (c *call) worst() quota.Tokens {
+	return quota.Tokens(c.terms.Input + c.terms.Output)
+}
+
+func (c *call) reserve() *refusal {
+	if c.service.Engine == nil || c.customer == "" || c.worst() == 0 {
+		return nil
+	}
+	switch reason := c.f.deps.Budgets.Reserve(c.id, c.customer, c.worst()); reason {
+	case "":
+		return nil
+	case quota.Exhausted:
+		return errExhausted
+	default:
+		return unfunded(string(reason))
+	}
+}
+
+// maxTries bounds the upstreams that one request is offered to, counting those
+// that surely did not run it.
+const maxTries = 4
+
+// attempts offers the request to upstreams until one serves it.
+func (c *call) attempts(ctx context.Context) *refusal {
+	last := errNoUpstream
+	runs := 0
+	for range maxTries {
+		if ctx.Err() != nil {
+			return c.expired()
+		}
+		if len(c.tried) > 0 && last != errNoUpstream && !c.f.takeRetry(c.service.Name) {
+			return last
+		}
+		u, ok := c.f.pick(c.query())
+		if !ok {
+			return last
+		}
+		c.tried = append(c.tried, u.ID)
+		v := c.attempt(ctx, u)
+		c.f.ended(u.ID, v.outcome)
+		if v.final {
+			return v.refusal
+		}
+		last = v.refusal
+		if v.mayHaveRun {
+			runs++
+			if !c.route.Repeatable() || runs >= c.route.Attempts {
+				return last
+			}
+		}
+	}
+	return last
+}
+
+func (c *call) query() sched.Query {
+	return sched.Query{
+		Service: c.service.Name, Parts: c.terms.Parts, Input: c.terms.Input, Output: c.terms.Output, Exclude: c.tried,
+	}
+}
+
+// expired is the end of a request whose time is up or whose caller left.
+func (c *call) expired() *refusal {
+	if c.ran || c.passed {
+		return errTimeout
+	}
+	return errNoUpstream
+}
+
+// left is the time that remains.
+func (c *call) left() time.Duration { return time.Until(c.deadline) }
+
+func (c *call) target(u fleet.Upstream) Target {
+	t := Target{Upstream: u, Customer: c.customer, Left: c.left()}
+	if c.stream != nil {
+		t.After = c.stream.lastID
+	}
+	return t
+}
+
+// logEnd writes one line on how the request ended.
+func (c *call) logEnd(out *refusal) {
+	fields := []zap.Field{
+		zap.String("request", c.id), zap.Duration("took", time.Since(c.start)), zap.Strings("tried", c.tried),
+	}
+	if c.route != nil {
+		fields = append(fields, zap.String("route", c.route.Name), zap.String("customer", c.customer))
+	}
+	if c.table != nil {
+		fields = append(fields, zap.Uint64("policy", c.table.Number))
+	}
+	if c.lastErr != nil {
+		fields = append(fields, zap.NamedError("cause", c.lastErr))
+	}
+	if out == nil {
+		c.f.log.Debug("front: served", fields...)
+		return
+	}
+	c.f.log.Info("front: not served", append(fields, zap.String("outcome", out.code), zap.Int("status", out.status))...)
+}
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,184 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/policy"
+	"dotterelgap/core/quota"
+	"dotterelgap/core/sched"
+	"dotterelgap/io/conns"
+
+	"go.uber.org/zap"
+)
+
+// Bounds on callers that hold before a policy is known.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	headerBytes   = 64 << 10
+)
+
+// Budgets reserves tokens of customers.
+type Budgets interface {
+	Reserve(id, customer string, worst quota.Tokens) quota.Reason
+	Settle(id string, used quota.Tokens)
+}
+
+// RetryOptions bound repeats; see sched.RetryBudget.
+type RetryOptions struct {
+	Ratio  float64
+	Burst  float64
+	Window time.Duration
+}
+
+// Deps is what a Front needs.
+type Deps struct {
+	Log      *zap.Logger
+	Listener net.Listener
+	Dialect  Dialect
+	Place    fleet.Place
+	Budgets  Budgets
+	Conns    *conns.Pool
+	Sched    sched.Options
+	Retry    RetryOptions
+	// LeaveNotice is how long a front that leaves goes on serving while the
+	// balancer notices.
+	LeaveNotice time.Duration
+}
+
+// Front serves callers.
+type Front struct {
+	deps    Deps
+	log     *zap.Logger
+	http    *http.Server
+	table   atomic.Pointer[policy.Table]
+	leaving atomic.Bool
+	wg      sync.WaitGroup
+
+	mu       sync.Mutex
+	balancer *sched.Balancer
+	retries  map[string]*sched.RetryBudget
+	entries  int
+}
+
+// Start serves callers on the listener until Close.
+func Start(deps Deps) *Front {
+	f := &Front{
+		deps: deps, log: deps.Log, balancer: sched.New(deps.Sched, deps.Place),
+		retries: map[string]*sched.RetryBudget{}, entries: 1,
+	}
+	f.http = &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(deps.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	f.wg.Go(func() { _ = f.http.Serve(deps.Listener) })
+	return f
+}
+
+// SetPolicy puts a policy in force, unless a later one is.
+func (f *Front) SetPolicy(t *policy.Table) {
+	for {
+		old := f.table.Load()
+		if old != nil && old.Number >= t.Number {
+			return
+		}
+		if f.table.CompareAndSwap(old, t) {
+			return
+		}
+	}
+}
+
+// Policy is the policy in force, or nil.
+func (f *Front) Policy() *policy.Table { return f.table.Load() }
+
+// SetUpstreams takes in the upstreams that may live.
+func (f *Front) SetUpstreams(ups []fleet.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.SetUpstreams(ups)
+}
+
+// SetEntries says over how many entries the retry budget is spread.
+func (f *Front) SetEntries(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = max(n, 1)
+	for _, b := range f.retries {
+		b.SetBurst(f.deps.Retry.Burst / float64(f.entries))
+	}
+}
+
+// Ready tells whether callers can be served.
+func (f *Front) Ready() bool {
+	return f.table.Load() != nil && !f.leaving.Load()
+}
+
+// Close lets the balancer notice, finishes the requests in progress until ctx
+// ends, and stops.
+func (f *Front) Close(ctx context.Context) error {
+	f.leaving.Store(true)
+	t := time.NewTimer(f.deps.LeaveNotice)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	err := f.http.Shutdown(ctx)
+	if err != nil {
+		_ = f.http.Close()
+	}
+	f.wg.Wait()
+	return err
+}
+
+func (f *Front) retryBudget(service string, now time.Time) *sched.RetryBudget {
+	b, ok := f.retries[service]
+	if !ok {
+		r := f.deps.Retry
+		b = sched.NewRetryBudget(r.Ratio, r.Burst/float64(f.entries), r.Window, now)
+		f.retries[service] = b
+	}
+	return b
+}
+
+// countRequest counts a caller's request towards the retry budget.
+func (f *Front) countRequest(service string) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retryBudget(service, now).Request(now)
+}
+
+// takeRetry takes a repeat from the budget.
+func (f *Front) takeRetry(service string) bool {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.retryBudget(service, now).Take(now)
+}
+
+// pick chooses an upstream and counts the request there.
+func (f *Front) pick(q sched.Query) (fleet.Upstream, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.balancer.Pick(time.Now(), q)
+	if ok {
+		f.balancer.Started(u.ID)
+	}
+	return u, ok
+}
+
+func (f *Front) ended(id string, o sched.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.Ended(time.Now(), id, o)
+}
--- /dev/null
+++ b/io/front/header.go
@@ -0,0 +1,38 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1), or are set
+// anew for each message.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host",
+}
+
+// forwardHeader copies the headers of a request that go on to the upstream.
+func forwardHeader(h http.Header, strip []string) http.Header {
+	out := make(http.Header, len(h)+4)
+	copyHeader(out, h)
+	for _, name := range strip {
+		out.Del(name)
+	}
+	return out
+}
+
+// copyHeader copies all headers but those that concern one connection only.
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = append([]string(nil), values...)
+	}
+	for _, value := range src["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			dst.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		dst.Del(name)
+	}
+}
--- /dev/null
+++ b/io/node/host.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"dotterelgap/core/raft"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/disk"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+)
+
+// Pauses of the control host's start.
+const (
+	hostPause  = 200 * time.Millisecond
+	foundPause = 50 * time.Millisecond
+)
+
+// hostRunner runs the control host of a node with a data folder. A host whose
+// disk fails is closed and started again from the folder; the node goes on.
+type hostRunner struct {
+	n       *Node
+	service *ctrl.Service
+}
+
+func newHostRunner(n *Node) *hostRunner {
+	return &hostRunner{n: n, service: ctrl.NewService(nil)}
+}
+
+func (r *hostRunner) register() error {
+	if r.n.deps.DataDir == "" {
+		return nil
+	}
+	return r.n.deps.Server.Register("Control", r.service)
+}
+
+// run starts the host, again and again until ctx ends.
+func (r *hostRunner) run(ctx context.Context) {
+	if r.n.deps.DataDir == "" {
+		return
+	}
+	for ctx.Err() == nil {
+		if err := r.once(ctx); err != nil && ctx.Err() == nil {
+			r.n.log.Error("node: the control host stopped, starting it again", zap.Error(err))
+		}
+		sleep(ctx, hostPause)
+	}
+}
+
+// once runs the host until ctx ends or its disk fails.
+func (r *hostRunner) once(ctx context.Context) error {
+	f, err := r.open(ctx)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	h, err := ctrl.Start(ctrl.Deps{
+		Log: r.n.log, Store: f.Store, Identity: f.Identity, Saved: f.Saved, Pool: r.n.deps.Pool, Addr: r.n.self,
+		Size: r.n.deps.Size, Rand: r.n.deps.Rand, CutOff: r.n.deps.Quota.CutOff, Replace: true,
+		OnPolicy: r.n.offer,
+		Fatal:    func(err error) { failed <- err },
+	})
+	if err != nil {
+		return err
+	}
+	r.service.Set(h)
+	defer func() {
+		r.service.Set(nil)
+		_ = h.Close()
+	}()
+	joining, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !f.Member() {
+		r.n.wg.Go(func() {
+			ctrl.Join(joining, r.n.log, r.n.client, raft.Member{ID: f.Identity.Member, Addr: r.n.self})
+		})
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return trace.Wrap(err)
+	}
+}
+
+// open opens the data folder, or makes one: by a founder at the very first start,
+// else for a new member.
+func (r *hostRunner) open(ctx context.Context) (ctrl.Folder, error) {
+	f, err := ctrl.OpenFolder(disk.OS(), r.n.deps.DataDir)
+	if err == nil || !ctrl.IsEmpty(err) {
+		return f, err
+	}
+	found := false
+	if r.n.deps.Bootstrap {
+		if found, err = r.isFounder(ctx); err != nil {
+			return f, err
+		}
+	}
+	f, err = ctrl.MakeFolder(disk.OS(), r.n.deps.DataDir, r.n.deps.Rand, r.n.self, found)
+	r.n.log.Info("node: new data folder", zap.Bool("founder", found), zap.Error(err))
+	return f, err
+}
+
+// isFounder tells whether this node forms the group: it is the first of the
+// seeds with a data folder, and no other has a group already.
+func (r *hostRunner) isFounder(ctx context.Context) (bool, error) {
+	for _, seed := range r.n.deps.Seeds {
+		if seed == r.n.self {
+			err := ctrl.RefuseSecondGroup(ctx, r.n.deps.Pool, r.n.deps.Seeds, r.n.self)
+			var exists *ctrl.GroupExistsError
+			if errors.As(err, &exists) {
+				return false, nil
+			}
+			return err == nil, err
+		}
+		disk, err := r.hasDisk(ctx, seed)
+		if disk || err != nil {
+			return false, err
+		}
+	}
+	return false, nil
+}
+
+// hasDisk waits until it is known whether the node at an address has a folder.
+func (r *hostRunner) hasDisk(ctx context.Context, addr netip.AddrPort) (bool, error) {
+	for ctx.Err() == nil {
+		alive := r.n.mesh.Alive()
+		for _, p := range alive {
+			if p.Addr == addr {
+				return p.Disk, nil
+			}
+		}
+		sleep(ctx, foundPause)
+	}
+	return false, trace.Wrap(ctx.Err())
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/policy"
+	"dotterelgap/core/quota"
+	"dotterelgap/core/sched"
+	"dotterelgap/core/state"
+	"dotterelgap/io/conns"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/front"
+	"dotterelgap/io/mesh"
+	"dotterelgap/io/wire"
+
+	"go.uber.org/zap"
+)
+
+// Interface is how operators, upstreams and balancers speak to a node. Each is a
+// handler for one listener.
+type Interface struct {
+	Dialect front.Dialect
+	// Decode reads a policy as it was published.
+	Decode func(data []byte) (*policy.Policy, error)
+	// API and Ready build the handlers of the two listeners.
+	API, Ready func(n *Node) http.Handler
+}
+
+// Deps is what a Node needs.
+type Deps struct {
+	Log       *zap.Logger
+	Pool      *wire.Pool
+	Server    *wire.Server
+	Rand      *rand.Rand
+	Place     fleet.Place
+	Interface Interface
+	// Callers, API and Ready are listened on; API and Ready may be nil.
+	Callers, API, Ready net.Listener
+	// Seeds are internal addresses of nodes that are known beforehand.
+	Seeds []netip.AddrPort
+	// DataDir is the data folder; empty where the node is no control host.
+	DataDir string
+	// Bootstrap allows forming a new group with an empty folder.
+	Bootstrap bool
+	// Size is the number of control hosts that vote.
+	Size  int
+	Retry front.RetryOptions
+	Quota quota.Options
+	// LeaveNotice is how long a node that leaves goes on serving while the
+	// balancer notices.
+	LeaveNotice time.Duration
+}
+
+// Node is one running node.
+type Node struct {
+	deps    Deps
+	log     *zap.Logger
+	self    netip.AddrPort
+	mesh    *mesh.Mesh
+	front   *front.Front
+	conns   *conns.Pool
+	client  *ctrl.Client
+	budgets *budgets
+	host    *hostRunner
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	servers []*http.Server
+	// policies holds the latest policy that is to be put in force.
+	policies chan state.Published
+	raw      atomic.Pointer[state.Published]
+	changed  chan struct{}
+	// confirmed is set once a quorum has confirmed a policy since the start.
+	confirmed atomic.Bool
+}
+
+// Start runs the node until Close.
+func Start(deps Deps) (*Node, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		deps: deps, log: deps.Log, self: deps.Server.Addr(), cancel: cancel,
+		conns:    conns.NewPool(conns.DefaultOptions()),
+		client:   ctrl.NewClient(deps.Pool, deps.Seeds),
+		policies: make(chan state.Published, 1),
+		changed:  make(chan struct{}, 1),
+	}
+	id := fleet.NewNodeID(fleet.RoleEntry, deps.Rand)
+	n.budgets = newBudgets(n, id)
+	n.front = front.Start(front.Deps{
+		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
+		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
+		LeaveNotice: deps.LeaveNotice,
+	})
+	if err := n.startMesh(id); err != nil {
+		cancel()
+		return nil, err
+	}
+	n.host = newHostRunner(n)
+	if err := errors.Join(deps.Server.Register("Node", &Service{n: n}), n.host.register()); err != nil {
+		cancel()
+		return nil, err
+	}
+	deps.Server.Serve()
+	n.wg.Go(func() { n.followPolicies(ctx) })
+	n.wg.Go(func() { n.followFleet(ctx) })
+	n.wg.Go(func() { n.budgets.run(ctx) })
+	n.wg.Go(func() { n.host.run(ctx) })
+	n.serve(deps.API, deps.Interface.API)
+	n.serve(deps.Ready, deps.Interface.Ready)
+	return n, nil
+}
+
+func (n *Node) startMesh(id fleet.NodeID) error {
+	var err error
+	n.mesh, err = mesh.Start(mesh.Deps{
+		Log: n.log, Pool: n.deps.Pool, Server: n.deps.Server, Seeds: n.deps.Seeds, Rand: n.deps.Rand,
+		Self:    fleet.Peer{ID: id, Place: n.deps.Place, Addr: n.self, Disk: n.deps.DataDir != ""},
+		Changed: n.onChange,
+	})
+	return err
+}
+
+func (n *Node) serve(ln net.Listener, handler func(*Node) http.Handler) {
+	if ln == nil {
+		return
+	}
+	s := &http.Server{Handler: handler(n), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, ErrorLog: zap.NewStdLog(n.log)}
+	n.servers = append(n.servers, s)
+	n.wg.Go(func() { _ = s.Serve(ln) })
+}
+
+func (n *Node) onChange() {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// followFleet hands changes of the fleet to those who use it.
+func (n *Node) followFleet(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		n.refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) refresh(ctx context.Context) {
+	var ups []fleet.Upstream
+	for _, u := range n.mesh.Upstreams() {
+		ups = append(ups, u.Upstream)
+	}
+	n.front.SetUpstreams(ups)
+	alive := n.mesh.Alive()
+	n.front.SetEntries(len(alive))
+	var control []netip.AddrPort
+	for _, p := range alive {
+		if p.Disk {
+			control = append(control, p.Addr)
+		}
+	}
+	n.client.SetAddrs(control)
+	n.catchUp(ctx, alive)
+}
+
+// Ready tells whether callers can be served.
+func (n *Node) Ready() bool {
+	return n.front.Ready() && n.confirmed.Load()
+}
+
+// Announce takes in an upstream's word on itself.
+func (n *Node) Announce(u fleet.Upstream) { n.mesh.Announce(u) }
+
+// Leave takes in that an upstream is gone. born is zero if it did not say when
+// it started: then the life that is known ends.
+func (n *Node) Leave(id string, born time.Time) {
+	u, ok := n.mesh.Upstream(id)
+	if !ok {
+		u = fleet.Upstream{ID: id}
+	}
+	if !born.IsZero() {
+		u.Born = born
+	}
+	u.State = fleet.UpstreamGone
+	n.mesh.Announce(u)
+}
+
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(seeds []netip.AddrPort) { n.mesh.SetSeeds(seeds) }
+
+// Close turns unready, finishes the requests in progress until ctx ends, gives
+// the budgets back and stops.
+func (n *Node) Close(ctx context.Context) (int, error) {
+	err := n.front.Close(ctx)
+	n.budgets.leave(ctx)
+	n.mesh.Update(true, func(p *fleet.Peer) { p.Left = true })
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	n.cancel()
+	n.wg.Wait()
+	_ = n.mesh.Close()
+	_ = n.conns.Close()
+	_ = n.deps.Server.Close(ctx)
+	if err != nil {
+		return 1, err
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/io/node/policy.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"dotterelgap/core/escrow"
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/policy"
+	"dotterelgap/core/state"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/wire"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+)
+
+// Times of asking for policies.
+const (
+	fetchTimeout   = 2 * time.Second
+	confirmTimeout = 3 * time.Second
+	confirmPause   = 300 * time.Millisecond
+	// settleTime is the time after which a node that no quorum has answered yet
+	// serves with the latest policy of its peers.
+	settleTime = 3 * time.Second
+)
+
+// Service is the net/rpc service "Node" of a node.
+type Service struct {
+	n *Node
+}
+
+// Policy returns the policy in force here, if it is newer than the asker's.
+func (s *Service) Policy(args *wire.PolicyArgs, reply *state.Published) error {
+	if p := s.n.raw.Load(); p != nil && p.Number > args.Have {
+		*reply = *p
+	}
+	return nil
+}
+
+// offer hands on a policy that was accepted by the control group.
+func (n *Node) offer(p state.Published) {
+	if p.Number == 0 {
+		return
+	}
+	for {
+		select {
+		case n.policies <- p:
+			return
+		case old := <-n.policies:
+			if old.Number > p.Number {
+				p = old
+			}
+		}
+	}
+}
+
+// followPolicies puts policies in force, and asks a quorum for the first.
+func (n *Node) followPolicies(ctx context.Context) {
+	n.wg.Go(func() { n.confirmFirst(ctx) })
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-n.policies:
+			n.enforce(p)
+		}
+	}
+}
+
+// number is the number of the policy in force here.
+func (n *Node) number() uint64 {
+	if p := n.raw.Load(); p != nil {
+		return p.Number
+	}
+	return 0
+}
+
+func (n *Node) enforce(p state.Published) {
+	if p.Number <= n.number() {
+		return
+	}
+	decoded, err := n.deps.Interface.Decode(p.Data)
+	if err != nil {
+		n.log.Error("node: an accepted policy can't be read", zap.Uint64("policy", p.Number), zap.Error(err))
+		return
+	}
+	n.raw.Store(&p)
+	n.front.SetPolicy(policy.Compile(decoded))
+	n.budgets.setCustomers(decoded.Prepaid())
+	n.mesh.Update(true, func(self *fleet.Peer) { self.Policy = p.Number })
+	n.log.Info("node: policy in force", zap.Uint64("policy", p.Number), zap.Int("routes", len(decoded.Routes)))
+}
+
+// confirmFirst asks a quorum for the policy until it answers, or until the time
+// has come to do with what the peers have.
+func (n *Node) confirmFirst(ctx context.Context) {
+	began := time.Now()
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, confirmTimeout)
+		p, err := n.quorumPolicy(try)
+		cancel()
+		if err == nil && p.Number > 0 {
+			n.offer(p)
+			n.confirmed.Store(true)
+			return
+		}
+		if n.number() > 0 && time.Since(began) > settleTime {
+			n.confirmed.Store(true)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(confirmPause):
+		}
+	}
+}
+
+// catchUp fetches a later policy from a peer that has one.
+func (n *Node) catchUp(ctx context.Context, alive []fleet.Peer) {
+	for _, p := range alive {
+		if p.Policy <= n.number() || p.Addr == n.self {
+			continue
+		}
+		try, cancel := context.WithTimeout(ctx, fetchTimeout)
+		var got state.Published
+		err := n.deps.Pool.Call(try, p.Addr, "Node.Policy", &wire.PolicyArgs{Have: n.number()}, &got)
+		cancel()
+		if err == nil && got.Number > 0 {
+			n.offer(got)
+			return
+		}
+	}
+}
+
+// quorumPolicy returns the policy in force, confirmed by a quorum.
+func (n *Node) quorumPolicy(ctx context.Context) (state.Published, error) {
+	have := n.raw.Load()
+	args := wire.PolicyArgs{}
+	if have != nil {
+		args.Have = have.Number
+	}
+	reply, err := ctrl.Call[wire.PolicyReply](ctx, n.client, "Control.Policy", &args)
+	if err != nil {
+		return state.Published{}, err
+	}
+	if have != nil && reply.Policy.Number == have.Number {
+		return *have, nil
+	}
+	return reply.Policy, nil
+}
+
+// Publish puts a policy in force. An error says that it may or may not be.
+func (n *Node) Publish(ctx context.Context, p *policy.Policy, data []byte) error {
+	args := state.Publish{Number: p.Number, Data: data, Prepaid: map[string]escrow.Tokens{}}
+	for c, tokens := range p.Prepaid() {
+		args.Prepaid[c] = escrow.Tokens(tokens)
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	reply, err := ctrl.Call[wire.PublishReply](ctx, n.client, "Control.Publish", &args)
+	if err != nil {
+		return err
+	}
+	if reply.Number == p.Number {
+		n.offer(state.Published{Number: p.Number, Data: data})
+	}
+	return nil
+}
+
+// NoPolicyError says that nothing was published yet.
+type NoPolicyError struct{}
+
+// Error implements error.
+func (*NoPolicyError) Error() string { return "no policy was published yet" }
+
+// Published returns the policy in force as it was sent, confirmed by a quorum.
+func (n *Node) Published(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	p, err := n.quorumPolicy(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if p.Number == 0 {
+		return nil, trace.Wrap(&NoPolicyError{})
+	}
+	return p.Data, nil
+}
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -7,6 +7,7 @@
 	"dotterelgap/core/escrow"
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/ledger"
+	"dotterelgap/core/quota"
 	"dotterelgap/core/raft"
 	"dotterelgap/core/state"
 )
@@ -107,7 +108,33 @@
 // JoinReply says that the host is a learner or voter of the group.
 type JoinReply struct {
 	Hint
-	Voter bool
+	Member bool
+	Voter  bool
+}
+
+// PublishReply answers a publish with the number in force.
+type PublishReply struct {
+	Hint
+	Number uint64
+}
+
+// PolicyArgs asks for the routing policy in force, confirmed by a quorum.
+type PolicyArgs struct {
+	// Have is the number that the asker has; its data is not sent again.
+	Have uint64
+}
+
+// PolicyReply is the routing policy in force.
+type PolicyReply struct {
+	Hint
+	Policy state.Published
+}
+
+// QuotaReply answers a holder's statement.
+type QuotaReply struct {
+	Hint
+	Allowances []quota.Allowance
+	Ended      bool
 }
 
 // Empty is the answer of calls that answer nothing.
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -26,7 +28,36 @@
 
 type lazyClient struct {
 	mu     sync.Mutex
-	client *rpc.Client
+	client *client
+}
+
+// client is a net/rpc client that knows when it last heard from the other side.
+type client struct {
+	*rpc.Client
+	conn *heardConn
+}
+
+// epoch is what heardConn counts from, on the monotonic clock.
+var epoch = time.Now()
+
+// heardConn notes when bytes arrived. A connection may go silent for good
+// without a reset.
+type heardConn struct {
+	net.Conn
+	heard atomic.Int64
+}
+
+func (c *heardConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Store(int64(time.Since(epoch)))
+	}
+	return n, err
+}
+
+// silentSince tells whether nothing has arrived since a time.
+func (c *client) silentSince(t time.Time) bool {
+	return c.conn.heard.Load() < int64(t.Sub(epoch))
 }
 
 // NewPool returns a pool without connections.
@@ -71,9 +102,13 @@
 	if err != nil {
 		return &NotSentError{Addr: addr, Err: err}
 	}
+	began := time.Now()
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
+		if c.silentSince(began) {
+			p.drop(addr, c)
+		}
 		return &UnknownOutcomeError{Addr: addr, Method: method, Err: ctx.Err()}
 	case <-call.Done:
 	}
@@ -88,7 +123,7 @@
 	return &UnknownOutcomeError{Addr: addr, Method: method, Err: call.Error}
 }
 
-func (p *Pool) client(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+func (p *Pool) client(ctx context.Context, addr netip.AddrPort) (*client, error) {
 	p.mu.Lock()
 	lc, ok := p.clients[addr]
 	if !ok {
@@ -113,13 +148,14 @@
 	return c, nil
 }
 
-func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*client, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := DialContext(ctx, addr, p.tls)
+	raw, err := DialContext(ctx, addr, p.tls)
 	if err != nil {
 		return nil, err
 	}
+	conn := &heardConn{Conn: raw}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	if _, err := io.WriteString(conn, "CONNECT "+rpc.DefaultRPCPath+" HTTP/1.0\n\n"); err != nil {
@@ -135,7 +171,7 @@
 		_ = conn.Close()
 		return nil, trace.ConnectionProblem(nil, "unexpected answer %q", resp.Status)
 	}
-	return rpc.NewClient(conn), nil
+	return &client{Client: rpc.NewClient(conn), conn: conn}, nil
 }
 
 // DialContext opens a connection to another process of the system.
@@ -148,7 +184,7 @@
 	return td.DialContext(ctx, "tcp", addr.String())
 }
 
-func (p *Pool) drop(addr netip.AddrPort, c *rpc.Client) {
+func (p *Pool) drop(addr netip.AddrPort, c *client) {
 	p.mu.Lock()
 	lc := p.clients[addr]
 	p.mu.Unlock()
