--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -128,7 +128,17 @@
 	return front.RetryOptions{Ratio: s.RetryRatio, Burst: s.RetryBurst, Window: s.RetryWindow.Std()}
 }
 
-func (s *NodeSettings) quota() quota.Options { return quota.DefaultOptions() }
+// nearAhead is the demand that a node with a control host marks ahead: it need
+// only outlast an election.
+const nearAhead = 700 * time.Millisecond
+
+func (s *NodeSettings) quota() quota.Options {
+	opts := quota.DefaultOptions()
+	if s.DataDir != "" {
+		opts.Ahead = nearAhead
+	}
+	return opts
+}
 
 func (s *NodeSettings) place() fleet.Place { return fleet.Place(s.Place) }
 
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -10,19 +10,6 @@
 	"dotterelgap/core/fleet"
 )
 
-// Reason says why a request's worst case was not reserved; empty if it was.
-type Reason string
-
-// The reasons for a refusal. All of them mean that nothing ran.
-const (
-	// Exhausted: what the customer has left over all holders does not cover it.
-	Exhausted Reason = "budget_exhausted"
-	// Elsewhere: the customer has tokens left, but not enough of them here.
-	Elsewhere Reason = "budget_elsewhere"
-	// Unknown: the control group has not said yet what the customer has.
-	Unknown Reason = "budget_unknown"
-)
-
 // Holder spends from allowances on behalf of one entry.
 type Holder struct {
 	id       fleet.NodeID
@@ -39,6 +26,12 @@
 	asking uint64
 	short  bool
 	left   bool
+	began  time.Time
+	// witnesses are those of the latest statement that was answered, next those
+	// of the coming ones.
+	witnesses, asked, next []fleet.NodeID
+	// entered is set while the reserve may be used.
+	entered bool
 }
 
 type reservation struct {
@@ -55,17 +48,21 @@
 	mark     Tokens
 	spent    Tokens
 	reserved Tokens
-	need     Tokens
-	fair     Tokens
-	unspent  Tokens
-	rate     demand.Rate
+	// waiting holds the worst cases of requests that wait for an answer.
+	waiting map[string]Tokens
+	fair    Tokens
+	unspent Tokens
+	rate    demand.Rate
+	// largest is the worst case of the largest request since largestAt.
+	largest   Tokens
+	largestAt time.Time
 }
 
 // NewHolder returns a holder without allowances.
 func NewHolder(id fleet.NodeID, addr netip.AddrPort, opts Options, now time.Time) *Holder {
 	return &Holder{
 		id: id, addr: addr, opts: opts, purses: map[string]*purse{}, requests: map[string]reservation{},
-		answeredAt: now,
+		answeredAt: now, began: now,
 	}
 }
 
@@ -74,9 +71,10 @@
 func (h *Holder) Renew(id fleet.NodeID) {
 	h.id = id
 	h.seq, h.heard, h.asking = 0, 0, 0
+	h.witnesses, h.entered = nil, false
 	h.requests = map[string]reservation{}
 	for c := range h.purses {
-		h.purses[c] = &purse{rate: h.purses[c].rate}
+		h.purses[c] = &purse{rate: h.purses[c].rate, waiting: h.purses[c].waiting}
 	}
 }
 
@@ -84,53 +82,107 @@
 func (h *Holder) SetCustomers(now time.Time, names []string) {
 	for _, c := range names {
 		if _, ok := h.purses[c]; !ok {
-			h.purses[c] = &purse{rate: demand.NewRate(h.opts.RateHalfLife, now)}
+			h.purses[c] = &purse{rate: demand.NewRate(h.opts.RateHalfLife, now), waiting: map[string]Tokens{}}
 			h.short = true
 		}
 	}
 }
 
-// CutOff tells whether the reserve may be used.
-func (h *Holder) CutOff(now time.Time) bool {
-	return h.heard > 0 && now.Sub(h.answeredAt) >= h.opts.CutOff
+// SetWitnesses names the witnesses of the coming statements.
+func (h *Holder) SetWitnesses(ids []fleet.NodeID) { h.next = ids }
+
+// Entry tells whether the holder wants to use its reserve, and whose word it
+// needs for that: there was no answer for CutOff.
+func (h *Holder) Entry(now time.Time) (e Entry, witnesses []fleet.NodeID, wanted bool) {
+	if h.entered || h.heard == 0 || h.left || now.Sub(h.answeredAt) < h.opts.CutOff {
+		return Entry{}, nil, false
+	}
+	if len(h.witnesses) == 0 {
+		h.entered = true
+		return Entry{}, nil, false
+	}
+	return Entry{Holder: h.id, Heard: h.heard}, h.witnesses, true
+}
+
+// Witnessed says how many witnesses have recorded an entry.
+func (h *Holder) Witnessed(now time.Time, e Entry, n int) {
+	cutOff := now.Sub(h.answeredAt) >= h.opts.CutOff
+	if e.Holder == h.id && e.Heard == h.heard && cutOff && n >= len(h.witnesses) {
+		h.entered = true
+	}
 }
 
 // limit is what a purse may spend in all.
-func (h *Holder) limit(now time.Time, p *purse) Tokens {
-	if h.CutOff(now) {
+func (h *Holder) limit(p *purse) Tokens {
+	if h.entered {
 		return p.granted
 	}
 	return p.mark
 }
 
-// Reserve takes the worst case of a request out of the customer's allowance.
-func (h *Holder) Reserve(now time.Time, id, customer string, worst Tokens) Reason {
+// Reserve takes the worst case of a request out of the customer's allowance, or
+// returns a *RefusedError. What was refused counts as needed until it is reserved
+// or given up.
+func (h *Holder) Reserve(now time.Time, id, customer string, worst Tokens) error {
 	p, ok := h.purses[customer]
 	if !ok || !p.known {
 		h.short = true
-		return Unknown
+		if ok {
+			p.waiting[id] = worst
+		}
+		return &RefusedError{Reason: Unknown, Customer: customer, Worst: worst, Age: now.Sub(h.answeredAt)}
 	}
 	if p.unbounded {
-		return ""
+		return nil
 	}
-	if p.spent+p.reserved+worst > h.limit(now, p) {
-		return h.refuse(p, worst)
+	p.noteSize(now, worst, h.opts.LargestLife)
+	if p.spent+p.reserved+worst > h.limit(p) {
+		p.waiting[id] = worst
+		return h.refuse(now, customer, p, worst)
 	}
+	delete(p.waiting, id)
 	p.reserved += worst
 	h.requests[id] = reservation{customer: customer, worst: worst}
 	if p.mark-p.spent-p.reserved < h.ahead(now, p)/2 {
 		h.short = true
 	}
-	return ""
+	return nil
+}
+
+// noteSize keeps the size of the largest request of late.
+func (p *purse) noteSize(now time.Time, worst Tokens, life time.Duration) {
+	if worst >= p.largest || now.Sub(p.largestAt) > life {
+		p.largest, p.largestAt = worst, now
+	}
 }
 
-func (h *Holder) refuse(p *purse, worst Tokens) Reason {
+func (h *Holder) refuse(now time.Time, customer string, p *purse, worst Tokens) error {
 	h.short = true
-	p.need = max(p.need, worst)
+	e := &RefusedError{
+		RetryIn: max(h.opts.CutOff-now.Sub(h.answeredAt), 0),
+		Reason:  Elsewhere, Customer: customer, Worst: worst, Spent: p.spent, Reserved: p.reserved,
+		Mark: p.mark, Granted: p.granted, Unspent: p.unspent, Age: now.Sub(h.answeredAt), CutOff: h.entered,
+	}
 	if p.unspent < worst {
-		return Exhausted
+		e.Reason = Exhausted
+	}
+	return e
+}
+
+// GiveUp says that a request that was refused does not wait any more.
+func (h *Holder) GiveUp(id, customer string) {
+	if p, ok := h.purses[customer]; ok {
+		delete(p.waiting, id)
 	}
-	return Elsewhere
+}
+
+// need is what all waiting requests want.
+func (p *purse) need() Tokens {
+	var sum Tokens
+	for _, n := range p.waiting {
+		sum += n
+	}
+	return sum
 }
 
 // Settle ends a reservation with what was used of it. It is harmless to settle
@@ -150,11 +202,12 @@
 // ahead is how far the mark should be above what is in use: enough for the time
 // until the reserve may be used, with some to spare.
 func (h *Holder) ahead(now time.Time, p *purse) Tokens {
-	span := h.opts.CutOff + 2*h.opts.Interval
-	demand := Tokens(math.Ceil(p.rate.PerSecond(now) * span.Seconds()))
-	return max(demand, Tokens(h.opts.MarkShare*float64(p.granted-p.spent)))
+	return Tokens(math.Ceil(p.rate.PerSecond(now) * h.opts.Ahead.Seconds()))
 }
 
+// Short tells whether a statement should be sent as soon as may be.
+func (h *Holder) Short() bool { return h.short }
+
 // Due tells whether a statement should be sent now.
 func (h *Holder) Due(now time.Time) bool {
 	if h.asking != 0 || h.left {
@@ -171,7 +224,8 @@
 	h.asking = h.seq
 	h.sentAt = now
 	h.short = false
-	s := Statement{Holder: h.id, Addr: h.addr, Seq: h.seq, Heard: h.heard, Left: h.left}
+	h.asked = h.next
+	s := Statement{Witnesses: h.asked, Holder: h.id, Addr: h.addr, Seq: h.seq, Heard: h.heard, Left: h.left, Age: now.Sub(h.began)}
 	for _, c := range h.customers() {
 		s.Uses = append(s.Uses, h.usage(now, c, h.purses[c]))
 	}
@@ -189,8 +243,7 @@
 
 func (h *Holder) usage(now time.Time, customer string, p *purse) Usage {
 	used := p.spent + p.reserved
-	u := Usage{Customer: customer, Spent: p.spent, Reserved: p.reserved, Need: p.need, Rate: p.rate.PerSecond(now)}
-	p.need = 0
+	u := Usage{Customer: customer, Spent: p.spent, Reserved: p.reserved, Need: p.need(), Rate: p.rate.PerSecond(now), Largest: p.largest}
 	if h.left {
 		u.Limit = used
 	} else if p.fair > 0 && p.fair < p.granted {
@@ -200,7 +253,7 @@
 		p.granted = min(p.granted, u.Limit)
 	}
 	p.fair = 0
-	u.Mark = used + h.ahead(now, p)
+	u.Mark = used + h.ahead(now, p) + u.Need
 	if h.left {
 		u.Mark = used
 	}
@@ -217,6 +270,8 @@
 	h.asking = 0
 	h.heard = seq
 	h.answeredAt = now
+	h.witnesses = h.asked
+	h.entered = false
 	for _, a := range answers {
 		p, ok := h.purses[a.Customer]
 		if !ok {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -13,11 +13,17 @@
 const (
 	// grantedShare is the part of the unspent tokens that is handed out; the rest
 	// serves holders whose demand grows.
-	grantedShare = 0.7
+	grantedShare = 0.8
 	// idleShare is the part of an even share that a holder without demand gets.
-	idleShare = 0.25
+	idleShare = 0.2
+	// horizon is the demand that a holder is stocked for, in seconds: what it may
+	// burn when it dies against how long it can serve without control.
+	horizon = 20
 	// recallAbove is how far above its fair part a holder is asked to give back.
 	recallAbove = 1.3
+	// tightRequests is the number of the largest requests per holder below which
+	// nothing is handed out ahead of need, since parts would be too small to use.
+	tightRequests = 2
 	// quietAfter is the time without a statement after which a holder's demand
 	// no longer counts.
 	quietAfter = 3 * time.Second
@@ -39,15 +45,24 @@
 	Mark    Tokens  `cbor:"2,keyasint"`
 	Spent   Tokens  `cbor:"3,keyasint"`
 	Rate    float64 `cbor:"4,keyasint"`
+	// Used is what was spent, with what requests in progress may still spend.
+	Used    Tokens `cbor:"5,keyasint"`
+	Largest Tokens `cbor:"6,keyasint"`
 }
 
 // Life is what the ledger knows of one life of an entry.
 type Life struct {
 	Addr netip.AddrPort `cbor:"1,keyasint"`
 	Seq  uint64         `cbor:"2,keyasint"`
-	At   time.Time      `cbor:"3,keyasint"`
+	// Last is when the latest statement was proposed, Sure when the latest one
+	// was to which the holder has the answer.
+	Last Moment `cbor:"3,keyasint"`
+	Sure Moment `cbor:"4,keyasint"`
 	// Ended is set once the holder's rows are billed.
-	Ended bool `cbor:"4,keyasint"`
+	Ended bool `cbor:"5,keyasint"`
+	// Heard and Witnesses are those of the latest statement.
+	Heard     uint64         `cbor:"6,keyasint"`
+	Witnesses []fleet.NodeID `cbor:"7,keyasint,omitempty"`
 }
 
 // Ledger is the replicated state of all budgets. Its fields are exported for
@@ -55,6 +70,7 @@
 type Ledger struct {
 	Accounts map[string]*Account    `cbor:"1,keyasint"`
 	Holders  map[fleet.NodeID]*Life `cbor:"2,keyasint"`
+	Clocks   []Moment               `cbor:"3,keyasint"`
 }
 
 // NewLedger returns a ledger without customers.
@@ -109,11 +125,12 @@
 	return sum
 }
 
-// unspent is what is left, as far as the holders have said.
-func (a *Account) unspent() Tokens {
+// unused is what is left if all requests in progress use their worst case, as
+// far as the holders have said.
+func (a *Account) unused() Tokens {
 	sum := a.Billed
 	for _, r := range a.Rows {
-		sum += r.Spent
+		sum += r.Used
 	}
 	return a.Paid - sum
 }
@@ -131,7 +148,7 @@
 
 // Apply takes in a statement and answers it with an allowance for each customer
 // that it names. now only weighs demand; no bound rests on it.
-func (l *Ledger) Apply(now time.Time, s Statement) []Allowance {
+func (l *Ledger) Apply(now Moment, s Statement) []Allowance {
 	h, ok := l.Holders[s.Holder]
 	if !ok {
 		l.replace(s)
@@ -143,14 +160,17 @@
 	}
 	fresh := s.Seq > h.Seq
 	if fresh {
-		h.Seq, h.At = s.Seq, now
+		if s.Heard == h.Seq {
+			h.Sure = h.Last
+		}
+		h.Seq, h.Last, h.Heard, h.Witnesses = s.Seq, now, s.Heard, s.Witnesses
 	}
 	out := make([]Allowance, 0, len(s.Uses))
 	for _, u := range s.Uses {
 		if fresh {
 			l.take(s.Holder, u)
 		}
-		out = append(out, l.allow(now, s.Holder, u, fresh))
+		out = append(out, l.allow(now.At, s.Holder, u, fresh))
 	}
 	if s.Left && fresh {
 		l.end(s.Holder, false)
@@ -197,9 +217,10 @@
 		r = &Row{}
 		a.Rows[id] = r
 	}
-	r.Rate = u.Rate
+	r.Rate, r.Largest = u.Rate, u.Largest
 	r.Spent = max(r.Spent, u.Spent)
 	used := u.Spent + u.Reserved
+	r.Used = used
 	if u.Limit > 0 {
 		r.Granted = min(r.Granted, max(u.Limit, used))
 	}
@@ -216,46 +237,54 @@
 	if !ok {
 		return Allowance{Customer: u.Customer}
 	}
-	unspent := a.unspent()
-	fair := max(Tokens(grantedShare*l.share(now, a, id)*float64(unspent)), 0)
-	has := r.Granted - r.Spent
-	free := a.Paid - a.committed()
+	unused := a.unused()
+	fair := l.fair(now, a, r, unused)
 	if fresh {
-		more := min(max(fair-has, u.Need-(r.Granted-u.Spent-u.Reserved)), free)
+		more := min(max(fair, u.Need)-(r.Granted-r.Used), a.Paid-a.committed())
 		r.Granted += max(more, 0)
-		r.Mark = min(max(u.Mark, r.Mark), r.Granted)
+		r.Mark = min(max(u.Mark, r.Mark, r.Used+u.Need), r.Granted)
 	}
-	out := Allowance{Customer: u.Customer, Granted: r.Granted, Mark: r.Mark, Unspent: unspent}
-	if float64(has) > recallAbove*float64(fair)+float64(u.Need) {
-		out.Fair = r.Spent + fair
+	out := Allowance{Customer: u.Customer, Granted: r.Granted, Mark: r.Mark, Unspent: unused}
+	if float64(r.Granted-r.Used) > recallAbove*float64(max(fair, u.Need)) {
+		out.Fair = r.Used + max(fair, u.Need)
 	}
 	return out
 }
 
-// share is a holder's part of a customer's demand. Idle holders keep a little.
-func (l *Ledger) share(now time.Time, a *Account, id fleet.NodeID) float64 {
-	var total float64
-	n := 0
+// fair is what a holder should have ahead of what is in use: its part of the
+// demand, at most for the horizon, and nothing where parts would be too small.
+func (l *Ledger) fair(now time.Time, a *Account, r *Row, unused Tokens) Tokens {
+	total, n, largest := l.demand(now, a)
+	if n == 0 || unused < Tokens(n)*tightRequests*largest {
+		return 0
+	}
+	share := 1 / float64(n)
+	if total > 0 {
+		share = idleShare*share + (1-idleShare)*r.Rate/total
+	}
+	part := grantedShare * share * float64(unused)
+	if total > 0 {
+		part = min(part, max(horizon*r.Rate, idleShare*part))
+	}
+	return max(Tokens(part), 0)
+}
+
+// demand adds up what the holders that speak have said of a customer.
+func (l *Ledger) demand(now time.Time, a *Account) (total float64, n int, largest Tokens) {
 	// In order, since the sum of floats depends on it and all replicas must agree.
-	for _, other := range slices.Sorted(maps.Keys(a.Rows)) {
-		if l.quiet(now, other) {
+	for _, id := range slices.Sorted(maps.Keys(a.Rows)) {
+		if l.quiet(now, id) {
 			continue
 		}
 		n++
-		total += a.Rows[other].Rate
-	}
-	if n == 0 {
-		return 0
-	}
-	even := 1 / float64(n)
-	if total <= 0 {
-		return even
+		total += a.Rows[id].Rate
+		largest = max(largest, a.Rows[id].Largest)
 	}
-	return idleShare*even + (1-idleShare)*a.Rows[id].Rate/total
+	return total, n, largest
 }
 
 func (l *Ledger) quiet(now time.Time, id fleet.NodeID) bool {
-	return now.Sub(l.Holders[id].At) > quietAfter
+	return now.Sub(l.Holders[id].Last.At) > quietAfter
 }
 
 // Ended tells whether a holder was ended.
--- /dev/null
+++ b/core/quota/moment.go
@@ -0,0 +1,40 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// Moment is a point on the clock of one leader of the control group. Only
+// moments of the same leader and term can be compared.
+type Moment struct {
+	At   time.Time `cbor:"1,keyasint"`
+	Term uint64    `cbor:"2,keyasint"`
+	By   uint64    `cbor:"3,keyasint"`
+}
+
+// sameClock tells whether two moments can be compared.
+func (m Moment) sameClock(o Moment) bool { return m.Term == o.Term && m.By == o.By }
+
+// keptTerms is the number of terms whose last moment is kept.
+const keptTerms = 8
+
+// Tick notes a moment at which the ledger's leader was at work.
+func (l *Ledger) Tick(m Moment) {
+	if n := len(l.Clocks); n > 0 && l.Clocks[n-1].sameClock(m) {
+		l.Clocks[n-1] = m
+		return
+	}
+	l.Clocks = append(l.Clocks, m)
+	l.Clocks = slices.Delete(l.Clocks, 0, max(len(l.Clocks)-keptTerms, 0))
+}
+
+// LastOf is the last moment of the leader that made m.
+func (l *Ledger) LastOf(m Moment) (Moment, bool) {
+	for _, c := range l.Clocks {
+		if c.sameClock(m) {
+			return c, true
+		}
+	}
+	return Moment{}, false
+}
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -7,23 +7,27 @@
 	// CutOff is the time without an answer after which a holder uses its
 	// reserve. All holders and the control group must use the same value.
 	CutOff time.Duration
+	// Ahead is the demand that a holder marks ahead of its use: what is burned
+	// when it dies against what it can serve before it may use its reserve.
+	Ahead time.Duration
 	// Interval is the time between two statements.
 	Interval time.Duration
 	// Urgent is the least time between two statements when tokens run low.
 	Urgent time.Duration
 	// RateHalfLife is the half-life of the demand estimate.
 	RateHalfLife time.Duration
-	// MarkShare is the least part of its unspent allowance that a holder marks.
-	MarkShare float64
+	// LargestLife is how long the largest request counts.
+	LargestLife time.Duration
 }
 
 // DefaultOptions returns the options that nodes run with.
 func DefaultOptions() Options {
 	return Options{
-		CutOff:       5 * time.Second,
-		Interval:     500 * time.Millisecond,
-		Urgent:       100 * time.Millisecond,
+		CutOff:       1700 * time.Millisecond,
+		Ahead:        1800 * time.Millisecond,
+		Interval:     100 * time.Millisecond,
+		Urgent:       10 * time.Millisecond,
 		RateHalfLife: 3 * time.Second,
-		MarkShare:    0.4,
+		LargestLife:  10 * time.Second,
 	}
 }
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"dotterelgap/core/escrow"
 	"dotterelgap/core/fleet"
@@ -22,9 +23,15 @@
 	Uses  []Usage `cbor:"5,keyasint"`
 	// Left is set by a holder that ends and spends nothing more.
 	Left bool `cbor:"6,keyasint,omitempty"`
-	// Prompt is set by the control group's leader where the holder, if it
-	// replaces an earlier one at its address, follows it within CutOff.
-	Prompt bool `cbor:"7,keyasint,omitempty"`
+	// Age is how long the holder's process has run.
+	Age time.Duration `cbor:"7,keyasint"`
+	// Prompt is set by the control group's leader where the holder replaces one
+	// at its address that can't have used its reserve: it was started within
+	// CutOff of it, or the earlier one's witnesses say so.
+	Prompt bool `cbor:"8,keyasint,omitempty"`
+	// Witnesses are the nodes that must all know before the holder uses its
+	// reserve. Without any it needs nobody's word.
+	Witnesses []fleet.NodeID `cbor:"9,keyasint,omitempty"`
 }
 
 // Usage is a holder's word on one customer.
@@ -42,6 +49,8 @@
 	Need Tokens `cbor:"6,keyasint"`
 	// Rate is the demand in tokens per second.
 	Rate float64 `cbor:"7,keyasint"`
+	// Largest is the worst case of the largest request of late.
+	Largest Tokens `cbor:"8,keyasint"`
 }
 
 // Allowance is the ledger's answer for one customer.
@@ -53,6 +62,7 @@
 	Mark      Tokens
 	// Fair asks the holder to give back what it has above it; 0 asks nothing.
 	Fair Tokens
-	// Unspent is what the customer has left over all holders, as far as known.
+	// Unspent is what the customer has left over all holders if all requests in
+	// progress use their worst case, as far as the holders have said.
 	Unspent Tokens
 }
--- /dev/null
+++ b/core/quota/witness.go
@@ -0,0 +1,77 @@
+package quota
+
+import "dotterelgap/core/fleet"
+
+// Witness remembers which holders have begun to use their reserve. It lives in
+// memory only: a restarted node has another id and is nobody's witness yet.
+type Witness struct {
+	self    fleet.NodeID
+	entered map[fleet.NodeID]uint64
+	fenced  map[fleet.NodeID]struct{}
+}
+
+// NewWitness returns a witness that has seen nothing.
+func NewWitness(self fleet.NodeID) *Witness {
+	return &Witness{self: self, entered: map[fleet.NodeID]uint64{}, fenced: map[fleet.NodeID]struct{}{}}
+}
+
+// Entry is a holder's announcement that it is about to use its reserve.
+type Entry struct {
+	Witness fleet.NodeID
+	Holder  fleet.NodeID
+	// Heard is the Seq of the holder's latest statement that was answered.
+	Heard uint64
+}
+
+// Enter records an entry. It is refused once the holder was fenced.
+func (w *Witness) Enter(e Entry) bool {
+	if _, ok := w.fenced[e.Holder]; ok || e.Witness != w.self {
+		return false
+	}
+	w.entered[e.Holder] = max(w.entered[e.Holder], e.Heard)
+	return true
+}
+
+// Testimony is a witness's word on a holder that has ended.
+type Testimony struct {
+	// Valid is false where the witness asked is another life of the node.
+	Valid bool
+	// Entered is the latest entry's Heard; 0 if there was none.
+	Entered uint64
+}
+
+// Fence refuses further entries of a holder, and tells about earlier ones.
+func (w *Witness) Fence(witness, holder fleet.NodeID) Testimony {
+	if witness != w.self {
+		return Testimony{}
+	}
+	w.fenced[holder] = struct{}{}
+	return Testimony{Valid: true, Entered: w.entered[holder]}
+}
+
+// Cleared tells whether a holder's witnesses have said that it did not use its
+// reserve after its last statement. One witness's word is enough, since a holder
+// needs all of them to enter.
+func (h Life) Cleared(words []Testimony) bool {
+	cleared := false
+	for _, t := range words {
+		if !t.Valid {
+			continue
+		}
+		if t.Entered > 0 && t.Entered >= h.Heard {
+			return false
+		}
+		cleared = true
+	}
+	return cleared
+}
+
+// Used tells whether a witness has seen the holder use its reserve.
+func (h Life) Used(words []Testimony) bool {
+	for _, t := range words {
+		if t.Valid && t.Entered > 0 && t.Entered >= h.Heard {
+			return true
+		}
+	}
+	return false
+}
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -33,6 +33,9 @@
 	State    State
 	Snapshot Snapshot
 	Entries  []Entry
+	// WrittenAt is the time of day, by the host's own clock, at which the last
+	// entry of each term was written.
+	WrittenAt map[uint64]time.Time
 }
 
 // Params create a Machine.
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -13,8 +13,12 @@
 // Command is one step of the state machine. Exactly one of its pointers or
 // lists is set.
 type Command struct {
-	// At is the leader's time, for the age of records only.
-	At       time.Time         `cbor:"at"`
+	// At is the leader's time. It starts with the time of day and never steps
+	// while the leader's process lives.
+	At time.Time `cbor:"at"`
+	// By and Term name the leader that proposed the command.
+	By       uint64            `cbor:"by"`
+	Term     uint64            `cbor:"term"`
 	Apply    *ApplyConfig      `cbor:"apply,omitempty"`
 	TopUp    *ledger.TopUp     `cbor:"top_up,omitempty"`
 	Refills  []escrow.Refill   `cbor:"refills,omitempty"`
@@ -84,8 +88,10 @@
 	Claim   *ClaimAnswer
 	Order   uint64
 	Joined  escrow.GrantID
-	// Published is the number in force after a Publish.
+	// Published is the number in force after a Publish. Accepted is set where that
+	// publish put it in force.
 	Published  uint64
+	Accepted   bool
 	Allowances []quota.Allowance
 	// Ended says that the statement came from a holder that was ended.
 	Ended bool
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -56,6 +56,7 @@
 // Apply carries out a command.
 func (m *Machine) Apply(c Command) Result {
 	m.forgetClaims(c.At)
+	m.Quota.Tick(c.moment())
 	switch {
 	case c.Apply != nil:
 		v, err := m.apply(*c.Apply)
@@ -77,9 +78,10 @@
 	case c.Leave != nil:
 		m.Ledger.Leave(c.Leave.Agent, c.Leave.Reports)
 	case c.Publish != nil:
-		return Result{Published: m.publish(*c.Publish)}
+		number, accepted := m.publish(*c.Publish)
+		return Result{Published: number, Accepted: accepted}
 	case c.Quota != nil:
-		return m.account(c.At, *c.Quota)
+		return m.account(c.moment(), *c.Quota)
 	case c.Retire != "":
 		m.Ledger.Retire(c.Retire)
 	default:
--- a/core/state/publish.go
+++ b/core/state/publish.go
@@ -1,10 +1,6 @@
 package state
 
-import (
-	"time"
-
-	"dotterelgap/core/quota"
-)
+import "dotterelgap/core/quota"
 
 // Published is a routing policy as its operator wrote it.
 type Published struct {
@@ -12,19 +8,24 @@
 	Data   []byte `cbor:"data"`
 }
 
-// publish puts a policy in force if its number is the highest, and returns the
-// number in force.
-func (m *Machine) publish(p Publish) uint64 {
+// publish puts a policy in force if its number is the highest. It returns the
+// number in force, and whether the policy is the one that was put in force now.
+func (m *Machine) publish(p Publish) (number uint64, accepted bool) {
 	if p.Number <= m.Policy.Number {
-		return m.Policy.Number
+		return m.Policy.Number, false
 	}
 	m.Policy = Published{Number: p.Number, Data: p.Data}
 	m.Quota.SetPrepaid(p.Prepaid)
-	return p.Number
+	return p.Number, true
 }
 
 // account takes in a holder's statement.
-func (m *Machine) account(at time.Time, s quota.Statement) Result {
+func (m *Machine) account(at quota.Moment, s quota.Statement) Result {
 	answers := m.Quota.Apply(at, s)
 	return Result{Allowances: answers, Ended: !s.Left && m.Quota.Ended(s.Holder)}
 }
+
+// moment is when the command was proposed.
+func (c Command) moment() quota.Moment {
+	return quota.Moment{At: c.At, Term: c.Term, By: c.By}
+}
--- a/io/ctrl/ask.go
+++ b/io/ctrl/ask.go
@@ -29,7 +29,7 @@
 // propose appends a command at the leader; done, if not nil, gets its outcome.
 // Loop only.
 func (h *Host) propose(now time.Time, c state.Command, done chan outcome) {
-	c.At = now
+	c.At, c.Term, c.By = h.steady(), h.machine.HardState().Term, uint64(h.deps.Identity.Member)
 	data, err := state.Encode(c)
 	if err != nil {
 		h.log.Error("control: command can't be encoded")
--- a/io/ctrl/client.go
+++ b/io/ctrl/client.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/netip"
@@ -21,6 +22,9 @@
 	mu     sync.Mutex
 	addrs  []netip.AddrPort
 	leader netip.AddrPort
+	// failed counts up; the host that failed last is asked last.
+	failed map[netip.AddrPort]uint64
+	fails  uint64
 }
 
 // Pauses and limits of asking.
@@ -34,7 +38,7 @@
 
 // NewClient returns a client that first knows these hosts.
 func NewClient(pool *wire.Pool, addrs []netip.AddrPort) *Client {
-	return &Client{pool: pool, addrs: slices.Clone(addrs)}
+	return &Client{pool: pool, addrs: slices.Clone(addrs), failed: map[netip.AddrPort]uint64{}}
 }
 
 // SetAddrs takes in a newer list of control hosts. The first ones stay known,
@@ -65,7 +69,10 @@
 			}
 			if err != nil {
 				last = err
-				c.prefer(netip.AddrPort{})
+				c.fail(addr)
+				if ctx.Err() != nil {
+					break
+				}
 				continue
 			}
 			c.prefer(P(&reply).GetHint().Leader)
@@ -85,22 +92,33 @@
 	return c.pool.Call(ctx, addr, method, args, reply)
 }
 
-// order lists the hosts to ask, the supposed leader first.
+// order lists the hosts to ask: the supposed leader first, then those that have
+// not failed, then the others, the last one to fail last.
 func (c *Client) order() []netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make([]netip.AddrPort, 0, len(c.addrs)+1)
-	if c.leader.IsValid() {
-		out = append(out, c.leader)
-	}
 	for _, a := range c.addrs {
 		if a != c.leader {
 			out = append(out, a)
 		}
 	}
+	slices.SortStableFunc(out, func(a, b netip.AddrPort) int { return cmp.Compare(c.failed[a], c.failed[b]) })
+	if c.leader.IsValid() {
+		out = slices.Insert(out, 0, c.leader)
+	}
 	return out
 }
 
+// fail notes that a host did not answer.
+func (c *Client) fail(addr netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = netip.AddrPort{}
+	c.fails++
+	c.failed[addr] = c.fails
+}
+
 func (c *Client) prefer(addr netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/ctrl/clock.go
+++ b/io/ctrl/clock.go
@@ -6,6 +6,39 @@
 	"golang.org/x/sys/unix"
 )
 
+// clock tells a host's time without the steps of the time of day, and remembers
+// when it wrote the last entry of each term.
+type clock struct {
+	wall time.Time
+	boot time.Duration
+	// written holds boot times of this process, before those times of day of
+	// earlier processes.
+	written map[uint64]time.Duration
+	before  map[uint64]time.Time
+}
+
+func newClock(before map[uint64]time.Time) *clock {
+	return &clock{wall: time.Now().Round(0), boot: bootTime(), written: map[uint64]time.Duration{}, before: before}
+}
+
+// now is the time of day at the process's start, and the time since.
+func (c *clock) now() time.Time { return c.wall.Add(bootTime() - c.boot) }
+
+// wrote notes that an entry of a term is about to be written.
+func (c *clock) wrote(term uint64) { c.written[term] = bootTime() }
+
+// since is how long ago the last entry of a term was written.
+func (c *clock) since(term uint64) (time.Duration, bool) {
+	if at, ok := c.written[term]; ok {
+		return bootTime() - at, true
+	}
+	at, ok := c.before[term]
+	return time.Now().Round(0).Sub(at), ok
+}
+
+// steady is the host's time for the log.
+func (h *Host) steady() time.Time { return h.clock.now() }
+
 // bootTime is the time since the machine started, with the time for which it
 // was suspended. Unlike the monotonic clock it can't lose a suspension.
 func bootTime() time.Duration {
--- a/io/ctrl/duty.go
+++ b/io/ctrl/duty.go
@@ -27,8 +27,6 @@
 	proposed map[escrow.GrantID]time.Time
 	roster   *wire.Roster
 	builtFor uint64
-	// contacts holds when the quota's holders were last heard.
-	contacts map[fleet.NodeID]*contact
 }
 
 // proposeAgain is the time after which an unanswered proposal is repeated.
@@ -48,7 +46,6 @@
 	d.denied = map[fleet.NodeID]map[string]escrow.Tokens{}
 	d.proposed = map[escrow.GrantID]time.Time{}
 	d.roster = nil
-	d.forgetContacts()
 }
 
 func (d *duty) report(r escrow.Report) {
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -81,6 +81,7 @@
 	wasRole raft.Role
 	dutyAt  time.Time
 	failed  bool
+	clock   *clock
 }
 
 type waiter struct {
@@ -106,6 +107,7 @@
 		book:    map[raft.MemberID]netip.AddrPort{},
 		duty:    newDuty(fleet.NewPresence(suspectAfter)),
 		metrics: newMetrics(),
+		clock:   newClock(deps.Saved.WrittenAt),
 	}
 	if h.deps.OnPolicy == nil {
 		h.deps.OnPolicy = func(state.Published) {}
@@ -201,6 +203,9 @@
 		return nil
 	}
 	h.metrics.synced(len(out.Entries))
+	if n := len(out.Entries); n > 0 {
+		h.clock.wrote(out.Entries[n-1].Term)
+	}
 	return h.deps.Store.Append(out.State, out.Entries)
 }
 
--- a/io/ctrl/policy.go
+++ b/io/ctrl/policy.go
@@ -19,7 +19,7 @@
 		return nil
 	}
 	res, hint := h.commit(state.Command{Publish: args})
-	reply.Hint, reply.Number = hint, res.Published
+	reply.Hint, reply.Number, reply.Accepted = hint, res.Published, res.Accepted
 	return nil
 }
 
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -1,21 +1,27 @@
 package ctrl
 
 import (
+	"context"
+	"net/netip"
 	"time"
 
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/quota"
+	"dotterelgap/core/raft"
 	"dotterelgap/core/state"
 	"dotterelgap/io/wire"
+
+	"go.uber.org/zap"
 )
 
-// contact is when this host, as leader, took in the latest statements of a
-// holder.
-type contact struct {
-	seq     uint64
-	at      time.Duration
-	earlier map[uint64]time.Duration
-}
+// Times of judging how an earlier holder ended.
+const (
+	// elapsedTimeout bounds asking other nodes.
+	elapsedTimeout = 200 * time.Millisecond
+	// decideWithin is the age of a newcomer up to which it waits for those who
+	// know more of its predecessor.
+	decideWithin = 5 * time.Second
+)
 
 // Quota takes in a holder's statement on its allowances.
 func (s *Service) Quota(args *quota.Statement, reply *wire.QuotaReply) error {
@@ -24,48 +30,154 @@
 		return err
 	}
 	st := *args
-	h.view(func(time.Time) { st.Prompt = h.prompt(st) })
+	var decided bool
+	if st.Prompt, decided = h.prompt(st); !decided && st.Age < decideWithin {
+		reply.NotLeader = true
+		return nil
+	}
 	res, hint := h.commit(state.Command{Quota: &st})
 	reply.Hint, reply.Allowances, reply.Ended = hint, res.Allowances, res.Ended
 	return nil
 }
 
-// prompt notes the contact, and tells whether the holder that a newcomer
-// replaces can't have used its reserve: its last answered statement came less
-// than CutOff ago, by a clock that also counts while this host is suspended.
-func (h *Host) prompt(st quota.Statement) bool {
-	now := bootTime()
-	if _, known := h.state.Quota.Holders[st.Holder]; !known {
-		id, ok := h.state.Quota.EarlierAt(st.Addr, st.Holder)
-		if !ok {
-			return false
+// replaced is what is known of a holder that a newcomer replaces.
+type replaced struct {
+	id   fleet.NodeID
+	life quota.Life
+	// now and last are on the clock of the leader that took in the holder's last
+	// statements; mine is set where that is this host.
+	now  time.Time
+	last quota.Moment
+	mine bool
+	// clear is set where last is known.
+	clear bool
+	// witnesses are the addresses of the holder's witnesses that live.
+	witnesses map[fleet.NodeID]netip.AddrPort
+}
+
+// replaces finds the holder that a statement's holder replaces.
+func (h *Host) replaces(st quota.Statement) (r replaced, ok bool) {
+	h.view(func(time.Time) {
+		l := h.state.Quota
+		if _, known := l.Holders[st.Holder]; known {
+			return
 		}
-		c := h.duty.contacts[id]
-		return c != nil && now-c.at < h.deps.CutOff
-	}
-	h.duty.contact(st, now)
-	return false
+		if r.id, ok = l.EarlierAt(st.Addr, st.Holder); !ok {
+			return
+		}
+		r.life = *l.Holders[r.id]
+		r.last, r.clear = l.LastOf(r.life.Sure)
+		r.now = h.steady()
+		r.mine = r.life.Sure.Term == h.machine.HardState().Term && h.machine.Status().Role == raft.Leader
+		r.witnesses = map[fleet.NodeID]netip.AddrPort{}
+		for _, w := range r.life.Witnesses {
+			if life, ok := l.Holders[w]; ok && !life.Ended {
+				r.witnesses[w] = life.Addr
+			}
+		}
+	})
+	return r, ok
 }
 
-// contact notes a statement. What counts is when the one was taken in whose
-// answer the holder is known to have.
-func (d *duty) contact(st quota.Statement, now time.Duration) {
-	c, ok := d.contacts[st.Holder]
+// prompt tells whether the holder that a newcomer replaces can't have used its
+// reserve: the newcomer's process was started less than CutOff after the last
+// statement that the earlier holder had an answer to, or its witnesses say so. It
+// is not decided while those who may know more can't be reached.
+func (h *Host) prompt(st quota.Statement) (prompt, decided bool) {
+	r, ok := h.replaces(st)
 	if !ok {
-		c = &contact{earlier: map[uint64]time.Duration{}}
-		d.contacts[st.Holder] = c
+		return false, true
 	}
-	if at, ok := c.earlier[st.Heard]; ok {
-		c.at, c.seq = at, st.Heard
-		delete(c.earlier, st.Heard)
+	gap, known := h.gap(r)
+	gap -= st.Age
+	prompt = known && gap < h.deps.CutOff
+	var words []quota.Testimony
+	if !prompt {
+		words = h.testimonies(r)
+		prompt = r.life.Cleared(words)
 	}
-	for seq := range c.earlier {
-		if seq < st.Heard {
-			delete(c.earlier, seq)
+	decided = prompt || r.life.Used(words) || len(r.life.Witnesses) == 0
+	h.log.Info("control: a holder of budgets is replaced", zap.String("holder", string(r.id)),
+		zap.String("by", string(st.Holder)), zap.Stringer("addr", st.Addr), zap.Bool("gap_known", known),
+		zap.Duration("gap", gap), zap.Any("testimonies", words), zap.Bool("prompt", prompt), zap.Bool("decided", decided))
+	return prompt, decided
+}
+
+// gap is the time since the holder's last answered statement.
+func (h *Host) gap(r replaced) (time.Duration, bool) {
+	if !r.clear {
+		return 0, false
+	}
+	if r.mine {
+		return r.now.Sub(r.life.Sure.At), true
+	}
+	since, ok := h.elapsedSince(r.life.Sure)
+	return since + r.last.At.Sub(r.life.Sure.At), ok
+}
+
+// testimonies asks the witnesses of a holder that has ended.
+func (h *Host) testimonies(r replaced) []quota.Testimony {
+	ctx, cancel := context.WithTimeout(context.Background(), elapsedTimeout)
+	defer cancel()
+	replies := make(chan quota.Testimony, len(r.witnesses))
+	for id, addr := range r.witnesses {
+		go func() {
+			var t quota.Testimony
+			if err := h.deps.Pool.Call(ctx, addr, "Node.Fence", &wire.FenceArgs{Witness: id, Holder: r.id}, &t); err != nil {
+				t = quota.Testimony{}
+			}
+			replies <- t
+		}()
+	}
+	var words []quota.Testimony
+	for range r.witnesses {
+		words = append(words, <-replies)
+	}
+	return words
+}
+
+// elapsedSince asks all members how long ago they wrote the last entry of a
+// moment's term, and takes the longest: a clock that was set back makes it
+// shorter. The term's leader must be among them, since the others may have
+// written late.
+func (h *Host) elapsedSince(m quota.Moment) (time.Duration, bool) {
+	var members []raft.Member
+	if !h.view(func(time.Time) { members = h.machine.Status().Members.Members }) {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), elapsedTimeout)
+	defer cancel()
+	replies := make(chan wire.ElapsedReply, len(members))
+	for _, mem := range members {
+		go func() {
+			var r wire.ElapsedReply
+			err := h.deps.Pool.Call(ctx, mem.Addr, "Control.Elapsed", &wire.ElapsedArgs{Term: m.Term}, &r)
+			r.Known = r.Known && err == nil && r.Member == mem.ID
+			replies <- r
+		}()
+	}
+	var longest time.Duration
+	fromLeader := false
+	for range members {
+		r := <-replies
+		if !r.Known {
+			continue
 		}
+		longest = max(longest, r.Since)
+		fromLeader = fromLeader || uint64(r.Member) == m.By
 	}
-	c.earlier[st.Seq] = now
+	return longest, fromLeader
 }
 
-// forgetContacts drops what a former leader noted.
-func (d *duty) forgetContacts() { d.contacts = map[fleet.NodeID]*contact{} }
+// Elapsed tells how long ago this host wrote the last entry of a term.
+func (s *Service) Elapsed(args *wire.ElapsedArgs, reply *wire.ElapsedReply) error {
+	h, err := s.running()
+	if err != nil {
+		return err
+	}
+	h.view(func(time.Time) {
+		reply.Member = h.deps.Identity.Member
+		reply.Since, reply.Known = h.clock.since(args.Term)
+	})
+	return nil
+}
--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"io"
+	"time"
 
 	"dotterelgap/core/raft"
 
@@ -22,6 +23,8 @@
 type record struct {
 	State   *raft.State  `cbor:"1,keyasint,omitempty"`
 	Entries []raft.Entry `cbor:"2,keyasint,omitempty"`
+	// At is the time of day at which the batch was to be written.
+	At time.Time `cbor:"3,keyasint"`
 }
 
 func frame(payload []byte) []byte {
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io/fs"
 	"path/filepath"
+	"time"
 
 	"dotterelgap/core/raft"
 
@@ -124,6 +125,12 @@
 
 // merge adds a record to what was read before it.
 func merge(saved *raft.Saved, r record) error {
+	if n := len(r.Entries); n > 0 {
+		if saved.WrittenAt == nil {
+			saved.WrittenAt = map[uint64]time.Time{}
+		}
+		saved.WrittenAt[r.Entries[n-1].Term] = r.At
+	}
 	if r.State != nil {
 		saved.State = *r.State
 	}
@@ -146,7 +153,7 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	payload, err := cbor.Marshal(record{State: state, Entries: entries})
+	payload, err := cbor.Marshal(record{State: state, Entries: entries, At: time.Now()})
 	if err != nil {
 		return s.fail(err)
 	}
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -65,12 +65,12 @@
 		return out
 	}
 	c.f.countRequest(c.service.Name)
-	if out := c.reserve(); out != nil {
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	if out := c.reserve(ctx); out != nil {
 		return out
 	}
 	defer func() { c.f.deps.Budgets.Settle(c.id, c.billed) }()
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
-	defer cancel()
 	return c.attempts(ctx)
 }
 
@@ -137,20 +137,32 @@
 	return quota.Tokens(c.terms.Input + c.terms.Output)
 }
 
-func (c *call) reserve() *refusal {
+func (c *call) reserve(ctx context.Context) *refusal {
 	if c.service.Engine == nil || c.customer == "" || c.worst() == 0 {
 		return nil
 	}
-	switch reason := c.f.deps.Budgets.Reserve(c.id, c.customer, c.worst()); reason {
-	case "":
+	err := c.f.deps.Budgets.Reserve(ctx, c.id, c.customer, c.worst())
+	if err == nil {
 		return nil
-	case quota.Exhausted:
+	}
+	c.lastErr = err
+	var refused *quota.RefusedError
+	if errors.As(err, &refused) && refused.Reason == quota.Exhausted {
 		return errExhausted
-	default:
-		return unfunded(string(reason))
 	}
+	out := *errUnfunded
+	if refused != nil && refused.RetryIn > 0 {
+		out.retryAfter = max(out.retryAfter, min(refused.RetryIn+retryMargin, maxRetryAfter))
+	}
+	return &out
 }
 
+// Bounds of the time after which a request that found no tokens may come back.
+const (
+	retryMargin   = 100 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
+)
+
 // maxTries bounds the upstreams that one request is offered to, counting those
 // that surely did not run it.
 const maxTries = 4
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -26,7 +26,7 @@
 
 // Budgets reserves tokens of customers.
 type Budgets interface {
-	Reserve(id, customer string, worst quota.Tokens) quota.Reason
+	Reserve(ctx context.Context, id, customer string, worst quota.Tokens) error
 	Settle(id string, used quota.Tokens)
 }
 
--- a/io/front/refusal.go
+++ b/io/front/refusal.go
@@ -25,17 +25,13 @@
 	errTooLarge   = &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large"}
 	errBadBody    = &refusal{status: http.StatusBadRequest, code: "bad_body"}
 	errExhausted  = &refusal{status: http.StatusPaymentRequired, code: "budget_exhausted"}
+	errUnfunded   = &refusal{status: http.StatusServiceUnavailable, code: "budget_elsewhere", retryAfter: 300 * time.Millisecond}
 	errNoUpstream = &refusal{status: http.StatusServiceUnavailable, code: "no_upstream", retryAfter: 500 * time.Millisecond}
 	errRejected   = &refusal{status: http.StatusServiceUnavailable, code: "upstream_full", retryAfter: 300 * time.Millisecond}
 	errLost       = &refusal{status: http.StatusBadGateway, code: "in_doubt"}
 	errTimeout    = &refusal{status: http.StatusGatewayTimeout, code: "timeout"}
 )
 
-// unfunded is the refusal for a reason other than an exhausted budget.
-func unfunded(code string) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: 300 * time.Millisecond}
-}
-
 // Error implements error.
 func (r *refusal) Error() string { return r.code }
 
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,26 +17,86 @@
 // Times of the budgets' loop.
 const (
 	budgetTick    = 25 * time.Millisecond
-	statementTime = time.Second
+	statementTime = 300 * time.Millisecond
+	// reserveWait is how long a request waits for tokens that the customer has,
+	// while the control group answers.
+	reserveWait = 250 * time.Millisecond
+	// answerAge is the age of the latest answer from which on no other is expected.
+	answerAge = time.Second
+	// entryTimeout and entryPause bound asking the witnesses.
+	entryTimeout = 300 * time.Millisecond
+	entryPause   = 100 * time.Millisecond
+)
+
+// Numbers of witnesses.
+const (
+	leastWitnesses = 2
+	maxWitnesses   = 3
 )
 
 // budgets drives the node's holder of prepaid budgets.
 type budgets struct {
-	n *Node
+	n    *Node
+	kick chan struct{}
 
 	mu     sync.Mutex
 	holder *quota.Holder
+	// witness knows of other nodes' holders.
+	witness *quota.Witness
+	entryAt time.Time
+	// answered is closed with the next answer.
+	answered chan struct{}
 }
 
 func newBudgets(n *Node, id fleet.NodeID) *budgets {
-	return &budgets{n: n, holder: quota.NewHolder(id, n.self, n.deps.Quota, time.Now())}
+	return &budgets{
+		n: n, kick: make(chan struct{}, 1), answered: make(chan struct{}),
+		holder: quota.NewHolder(id, n.self, n.deps.Quota, time.Now()), witness: quota.NewWitness(id),
+	}
+}
+
+// Reserve implements front.Budgets. What the customer may have elsewhere is
+// waited for, and nothing is called exhausted by an answer that may be older
+// than the request.
+func (b *budgets) Reserve(ctx context.Context, id, customer string, worst quota.Tokens) error {
+	ctx, cancel := context.WithTimeout(ctx, reserveWait)
+	defer cancel()
+	defer b.giveUp(id, customer)
+	for answers := 0; ; answers++ {
+		next, err := b.tryReserve(id, customer, worst)
+		var refused *quota.RefusedError
+		if !errors.As(err, &refused) || refused.Age > answerAge {
+			return err
+		}
+		if refused.Reason == quota.Exhausted && answers >= 2 {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-next:
+		}
+	}
 }
 
-// Reserve implements front.Budgets.
-func (b *budgets) Reserve(id, customer string, worst quota.Tokens) quota.Reason {
+// tryReserve also returns a channel that is closed with the next answer.
+func (b *budgets) tryReserve(id, customer string, worst quota.Tokens) (<-chan struct{}, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.holder.Reserve(time.Now(), id, customer, worst)
+	err := b.holder.Reserve(time.Now(), id, customer, worst)
+	if b.holder.Short() {
+		select {
+		case b.kick <- struct{}{}:
+		default:
+		}
+	}
+	return b.answered, err
+}
+
+func (b *budgets) giveUp(id, customer string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.GiveUp(id, customer)
 }
 
 // Settle implements front.Budgets.
@@ -64,13 +125,15 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-b.kick:
 		case <-ticker.C:
 		}
 	}
 }
 
-// step sends a statement if one is due.
+// step sends a statement if one is due, or asks for witnesses.
 func (b *budgets) step(ctx context.Context) {
+	b.enter(ctx)
 	b.mu.Lock()
 	if !b.holder.Due(time.Now()) {
 		b.mu.Unlock()
@@ -87,6 +150,8 @@
 	reply, err := ctrl.Call[wire.QuotaReply](ctx, b.n.client, "Control.Quota", &s)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	close(b.answered)
+	b.answered = make(chan struct{})
 	switch {
 	case err != nil:
 		b.holder.Lost(s.Seq)
@@ -106,3 +171,78 @@
 	b.mu.Unlock()
 	b.send(ctx, s)
 }
+
+// setWitnesses chooses the witnesses of the reserve: nodes that are no control
+// hosts, since a cut that parts this node from control may part it from those.
+func (b *budgets) setWitnesses(alive []fleet.Peer) {
+	var near, all []fleet.NodeID
+	for _, p := range alive {
+		if p.Addr == b.n.self {
+			continue
+		}
+		all = append(all, p.ID)
+		if !p.Disk {
+			near = append(near, p.ID)
+		}
+	}
+	if len(near) < leastWitnesses {
+		near = all
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	near = fleet.Rendezvous(b.n.self.String(), near)
+	b.holder.SetWitnesses(near[:min(len(near), maxWitnesses)])
+}
+
+// enter asks the witnesses to record that the reserve is to be used.
+func (b *budgets) enter(ctx context.Context) {
+	b.mu.Lock()
+	e, ids, wanted := b.holder.Entry(time.Now())
+	due := time.Since(b.entryAt) >= entryPause
+	if wanted && due {
+		b.entryAt = time.Now()
+	}
+	b.mu.Unlock()
+	if !wanted || !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	acks := make(chan bool, len(ids))
+	for _, id := range ids {
+		go func() {
+			e := e
+			e.Witness = id
+			var ok bool
+			err := b.n.deps.Pool.Call(ctx, b.n.addrOf(id), "Node.Enter", &e, &ok)
+			acks <- err == nil && ok
+		}()
+	}
+	n := 0
+	for range ids {
+		if <-acks {
+			n++
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder.Witnessed(time.Now(), e, n)
+}
+
+// Enter records that a holder is about to use its reserve.
+func (s *Service) Enter(args *quota.Entry, ok *bool) error {
+	b := s.n.budgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	*ok = b.witness.Enter(*args)
+	return nil
+}
+
+// Fence refuses entries of a holder that has ended, and tells about earlier ones.
+func (s *Service) Fence(args *wire.FenceArgs, reply *quota.Testimony) error {
+	b := s.n.budgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	*reply = b.witness.Fence(args.Witness, args.Holder)
+	return nil
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -167,6 +167,7 @@
 	n.front.SetUpstreams(ups)
 	alive := n.mesh.Alive()
 	n.front.SetEntries(len(alive))
+	n.budgets.setWitnesses(alive)
 	var control []netip.AddrPort
 	for _, p := range alive {
 		if p.Disk {
@@ -177,6 +178,16 @@
 	n.catchUp(ctx, alive)
 }
 
+// addrOf is the internal address of a live node, or the zero address.
+func (n *Node) addrOf(id fleet.NodeID) netip.AddrPort {
+	for _, p := range n.mesh.Alive() {
+		if p.ID == id {
+			return p.Addr
+		}
+	}
+	return netip.AddrPort{}
+}
+
 // Ready tells whether callers can be served.
 func (n *Node) Ready() bool {
 	return n.front.Ready() && n.confirmed.Load()
--- a/io/node/policy.go
+++ b/io/node/policy.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	if reply.Number == p.Number {
+	if reply.Accepted {
 		n.offer(state.Published{Number: p.Number, Data: data})
 	}
 	return nil
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"dotterelgap/core/config"
 	"dotterelgap/core/escrow"
@@ -98,6 +99,9 @@
 type OrderReply struct {
 	Hint
 	Number uint64
+	// Accepted is set where this publish put the policy in force. A resent one,
+	// or another policy with its number, is not accepted again.
+	Accepted bool
 }
 
 // JoinArgs asks to add a control host.
@@ -116,6 +120,9 @@
 type PublishReply struct {
 	Hint
 	Number uint64
+	// Accepted is set where this publish put the policy in force. A resent one,
+	// or another policy with its number, is not accepted again.
+	Accepted bool
 }
 
 // PolicyArgs asks for the routing policy in force, confirmed by a quorum.
@@ -137,6 +144,24 @@
 	Ended      bool
 }
 
+// ElapsedArgs asks how long ago a host wrote the last entry of a term.
+type ElapsedArgs struct {
+	Term uint64
+}
+
+// ElapsedReply answers it; Known is false if the host has no entry of the term.
+type ElapsedReply struct {
+	Member raft.MemberID
+	Since  time.Duration
+	Known  bool
+}
+
+// FenceArgs asks a witness about a holder that has ended.
+type FenceArgs struct {
+	Witness fleet.NodeID
+	Holder  fleet.NodeID
+}
+
 // Empty is the answer of calls that answer nothing.
 type Empty struct{}
 
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -26,9 +26,19 @@
 	closed  bool
 }
 
+// lazyClient is the connection to one address, or the attempt to open it.
 type lazyClient struct {
-	mu     sync.Mutex
+	mu      sync.Mutex
+	client  *client
+	dialing *dialing
+}
+
+// dialing is an attempt to connect that all who need it wait for. done is closed
+// once client or err is set.
+type dialing struct {
+	done   chan struct{}
 	client *client
+	err    error
 }
 
 // client is a net/rpc client that knows when it last heard from the other side.
@@ -135,21 +145,42 @@
 	if closed {
 		return nil, net.ErrClosed
 	}
+	return lc.get(ctx, func() (*client, error) { return p.dial(addr) })
+}
+
+// get returns the open connection, or waits for one until ctx ends.
+func (lc *lazyClient) get(ctx context.Context, dial func() (*client, error)) (*client, error) {
 	lc.mu.Lock()
-	defer lc.mu.Unlock()
 	if lc.client != nil {
+		defer lc.mu.Unlock()
 		return lc.client, nil
 	}
-	c, err := p.dial(ctx, addr)
-	if err != nil {
-		return nil, err
+	d := lc.dialing
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		lc.dialing = d
+		go lc.open(d, dial)
+	}
+	lc.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, trace.Wrap(ctx.Err())
+	case <-d.done:
+		return d.client, d.err
 	}
-	lc.client = c
-	return c, nil
 }
 
-func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*client, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (lc *lazyClient) open(d *dialing, dial func() (*client, error)) {
+	d.client, d.err = dial()
+	lc.mu.Lock()
+	lc.client = d.client
+	lc.dialing = nil
+	lc.mu.Unlock()
+	close(d.done)
+}
+
+func (p *Pool) dial(addr netip.AddrPort) (*client, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	raw, err := DialContext(ctx, addr, p.tls)
 	if err != nil {
--- a/io/wire/server.go
+++ b/io/wire/server.go
@@ -18,7 +18,7 @@
 // Timeouts of the internal listener.
 const (
 	headerTimeout = 5 * time.Second
-	dialTimeout   = 2 * time.Second
+	dialTimeout   = time.Second
 )
 
 // Params create a Server.
