Decide on a dead holder only with its leader's word; recall unused tokens

Holders that had used nothing of a customer never gave anything back: a recall to 0 was taken for none. A mark could stay above a lowered allowance.

Change: a newcomer waits up to 3 s for those who know more of its predecessor; lost witnesses decide only together with a known gap; the cut-off is 2.4 s; a recall is a flag of its own; the first election after a start comes soon; idle holders keep 8 in 100 of an even share.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -50,7 +50,9 @@
 	reserved Tokens
 	// waiting holds the worst cases of requests that wait for an answer.
 	waiting map[string]Tokens
-	fair    Tokens
+	// recall is set where the ledger wants back what is above keep.
+	recall  bool
+	keep    Tokens
 	unspent Tokens
 	rate    demand.Rate
 	// largest is the worst case of the largest request since largestAt.
@@ -244,20 +246,20 @@
 func (h *Holder) usage(now time.Time, customer string, p *purse) Usage {
 	used := p.spent + p.reserved
 	u := Usage{Customer: customer, Spent: p.spent, Reserved: p.reserved, Need: p.need(), Rate: p.rate.PerSecond(now), Largest: p.largest}
-	if h.left {
-		u.Limit = used
-	} else if p.fair > 0 && p.fair < p.granted {
-		u.Limit = max(p.fair, used)
-	}
-	if u.Limit > 0 {
+	if h.left || p.recall {
+		u.GiveBack = true
+		u.Limit = used + u.Need
+		if !h.left {
+			u.Limit = max(p.keep, u.Limit)
+		}
 		p.granted = min(p.granted, u.Limit)
 	}
-	p.fair = 0
+	p.recall = false
 	u.Mark = used + h.ahead(now, p) + u.Need
 	if h.left {
 		u.Mark = used
 	}
-	p.mark = min(p.mark, u.Mark)
+	p.mark = min(p.mark, u.Mark, p.granted)
 	return u
 }
 
@@ -279,7 +281,7 @@
 		}
 		p.known = true
 		p.unbounded = a.Unbounded
-		p.granted, p.mark, p.fair, p.unspent = a.Granted, a.Mark, a.Fair, a.Unspent
+		p.granted, p.mark, p.recall, p.keep, p.unspent = a.Granted, a.Mark, a.Recall, a.Keep, a.Unspent
 	}
 }
 
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -13,9 +13,9 @@
 const (
 	// grantedShare is the part of the unspent tokens that is handed out; the rest
 	// serves holders whose demand grows.
-	grantedShare = 0.8
+	grantedShare = 0.9
 	// idleShare is the part of an even share that a holder without demand gets.
-	idleShare = 0.2
+	idleShare = 0.08
 	// horizon is the demand that a holder is stocked for, in seconds: what it may
 	// burn when it dies against how long it can serve without control.
 	horizon = 20
@@ -221,7 +221,7 @@
 	r.Spent = max(r.Spent, u.Spent)
 	used := u.Spent + u.Reserved
 	r.Used = used
-	if u.Limit > 0 {
+	if u.GiveBack {
 		r.Granted = min(r.Granted, max(u.Limit, used))
 	}
 	r.Mark = min(max(u.Mark, used), r.Granted)
@@ -246,7 +246,7 @@
 	}
 	out := Allowance{Customer: u.Customer, Granted: r.Granted, Mark: r.Mark, Unspent: unused}
 	if float64(r.Granted-r.Used) > recallAbove*float64(max(fair, u.Need)) {
-		out.Fair = r.Used + max(fair, u.Need)
+		out.Recall, out.Keep = true, r.Used+max(fair, u.Need)
 	}
 	return out
 }
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -23,8 +23,8 @@
 // DefaultOptions returns the options that nodes run with.
 func DefaultOptions() Options {
 	return Options{
-		CutOff:       1700 * time.Millisecond,
-		Ahead:        1800 * time.Millisecond,
+		CutOff:       2400 * time.Millisecond,
+		Ahead:        2500 * time.Millisecond,
 		Interval:     100 * time.Millisecond,
 		Urgent:       10 * time.Millisecond,
 		RateHalfLife: 3 * time.Second,
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -43,8 +43,10 @@
 	Reserved Tokens `cbor:"3,keyasint"`
 	// Mark asks for this mark. Below the present one it gives back.
 	Mark Tokens `cbor:"4,keyasint"`
-	// Limit gives back what the allowance has above it; 0 gives back nothing.
-	Limit Tokens `cbor:"5,keyasint"`
+	// GiveBack is set where the holder gives back what its allowance has above
+	// Limit.
+	GiveBack bool   `cbor:"9,keyasint,omitempty"`
+	Limit    Tokens `cbor:"5,keyasint"`
 	// Need is the worst case of a request that the allowance did not cover.
 	Need Tokens `cbor:"6,keyasint"`
 	// Rate is the demand in tokens per second.
@@ -60,8 +62,9 @@
 	Unbounded bool
 	Granted   Tokens
 	Mark      Tokens
-	// Fair asks the holder to give back what it has above it; 0 asks nothing.
-	Fair Tokens
+	// Recall is set where the holder is asked to give back what it has above Keep.
+	Recall bool
+	Keep   Tokens
 	// Unspent is what the customer has left over all holders if all requests in
 	// progress use their worst case, as far as the holders have said.
 	Unspent Tokens
--- a/core/quota/witness.go
+++ b/core/quota/witness.go
@@ -49,29 +49,38 @@
 	return Testimony{Valid: true, Entered: w.entered[holder]}
 }
 
-// Cleared tells whether a holder's witnesses have said that it did not use its
-// reserve after its last statement. One witness's word is enough, since a holder
-// needs all of them to enter.
-func (h Life) Cleared(words []Testimony) bool {
-	cleared := false
-	for _, t := range words {
-		if !t.Valid {
-			continue
-		}
-		if t.Entered > 0 && t.Entered >= h.Heard {
-			return false
-		}
-		cleared = true
-	}
-	return cleared
-}
+// Verdict is what the witnesses' words say of an ended holder.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Open: a witness that may know more has not answered.
+	Open Verdict = iota
+	// Cleared: the holder did not use its reserve after its last statement.
+	Cleared
+	// Used: it may have.
+	Used
+)
 
-// Used tells whether a witness has seen the holder use its reserve.
-func (h Life) Used(words []Testimony) bool {
+// Judge weighs the words of a holder's witnesses. One that has not seen it is
+// enough to clear it, since a holder needs all of them to enter.
+func (h Life) Judge(words []Testimony) Verdict {
+	cleared, lost := false, len(h.Witnesses) == 0
 	for _, t := range words {
-		if t.Valid && t.Entered > 0 && t.Entered >= h.Heard {
-			return true
+		switch {
+		case !t.Valid:
+			lost = true
+		case t.Entered > 0 && t.Entered >= h.Heard:
+			return Used
+		default:
+			cleared = true
 		}
 	}
-	return false
+	switch {
+	case cleared:
+		return Cleared
+	case lost && len(words) >= len(h.Witnesses):
+		return Used
+	}
+	return Open
 }
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -24,6 +24,8 @@
 	DefaultElection = 500 * time.Millisecond
 	// heartbeatsPerElection divides the election time into heartbeats.
 	heartbeatsPerElection = 8
+	// firstElectionDivisor shortens the wait for a leader after a start.
+	firstElectionDivisor = 2
 	// maxEntriesPerAppend bounds one append message.
 	maxEntriesPerAppend = 512
 )
@@ -101,7 +103,9 @@
 	m.commit = p.Saved.Snapshot.Index
 	m.applied = m.commit
 	m.stable = m.log.last()
-	m.resetTimeout(p.Now)
+	// After a restart there may be no leader. A pre-vote disturbs nobody if there
+	// is one, so the first is asked for soon.
+	m.timeout = p.Now.Add(time.Duration(p.Rand.Int64N(int64(m.election))) / firstElectionDivisor)
 	if m.members.IsVoter(m.self) && m.members.Voters() == 1 {
 		m.timeout = p.Now
 	}
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -20,7 +20,7 @@
 	elapsedTimeout = 200 * time.Millisecond
 	// decideWithin is the age of a newcomer up to which it waits for those who
 	// know more of its predecessor.
-	decideWithin = 5 * time.Second
+	decideWithin = 3 * time.Second
 )
 
 // Quota takes in a holder's statement on its allowances.
@@ -31,7 +31,7 @@
 	}
 	st := *args
 	var decided bool
-	if st.Prompt, decided = h.prompt(st); !decided && st.Age < decideWithin {
+	if st.Prompt, decided = h.prompt(st); !decided {
 		reply.NotLeader = true
 		return nil
 	}
@@ -49,9 +49,11 @@
 	now  time.Time
 	last quota.Moment
 	mine bool
+	// leading is set where this host can book the statement.
+	leading bool
 	// clear is set where last is known.
 	clear bool
-	// witnesses are the addresses of the holder's witnesses that live.
+	// witnesses are the addresses of the holder's witnesses.
 	witnesses map[fleet.NodeID]netip.AddrPort
 }
 
@@ -68,10 +70,11 @@
 		r.life = *l.Holders[r.id]
 		r.last, r.clear = l.LastOf(r.life.Sure)
 		r.now = h.steady()
-		r.mine = r.life.Sure.Term == h.machine.HardState().Term && h.machine.Status().Role == raft.Leader
+		r.leading = h.machine.Status().Role == raft.Leader
+		r.mine = r.leading && r.life.Sure.Term == h.machine.HardState().Term
 		r.witnesses = map[fleet.NodeID]netip.AddrPort{}
 		for _, w := range r.life.Witnesses {
-			if life, ok := l.Holders[w]; ok && !life.Ended {
+			if life, ok := l.Holders[w]; ok {
 				r.witnesses[w] = life.Addr
 			}
 		}
@@ -85,22 +88,25 @@
 // is not decided while those who may know more can't be reached.
 func (h *Host) prompt(st quota.Statement) (prompt, decided bool) {
 	r, ok := h.replaces(st)
-	if !ok {
+	if !ok || !r.leading {
 		return false, true
 	}
 	gap, known := h.gap(r)
 	gap -= st.Age
-	prompt = known && gap < h.deps.CutOff
+	verdict := quota.Cleared
 	var words []quota.Testimony
-	if !prompt {
+	if !known || gap >= h.deps.CutOff {
 		words = h.testimonies(r)
-		prompt = r.life.Cleared(words)
+		verdict = r.life.Judge(words)
+	}
+	open := verdict == quota.Open || (verdict == quota.Used && !known)
+	if open && st.Age < decideWithin {
+		return false, false
 	}
-	decided = prompt || r.life.Used(words) || len(r.life.Witnesses) == 0
 	h.log.Info("control: a holder of budgets is replaced", zap.String("holder", string(r.id)),
 		zap.String("by", string(st.Holder)), zap.Stringer("addr", st.Addr), zap.Bool("gap_known", known),
-		zap.Duration("gap", gap), zap.Any("testimonies", words), zap.Bool("prompt", prompt), zap.Bool("decided", decided))
-	return prompt, decided
+		zap.Duration("gap", gap), zap.Any("testimonies", words), zap.Bool("reserve_kept", verdict == quota.Cleared))
+	return verdict == quota.Cleared, true
 }
 
 // gap is the time since the holder's last answered statement.
@@ -115,23 +121,27 @@
 	return since + r.last.At.Sub(r.life.Sure.At), ok
 }
 
-// testimonies asks the witnesses of a holder that has ended.
+// testimonies asks the witnesses of a holder that has ended, and returns the
+// words of those that answer.
 func (h *Host) testimonies(r replaced) []quota.Testimony {
 	ctx, cancel := context.WithTimeout(context.Background(), elapsedTimeout)
 	defer cancel()
-	replies := make(chan quota.Testimony, len(r.witnesses))
+	replies := make(chan *quota.Testimony, len(r.witnesses))
 	for id, addr := range r.witnesses {
 		go func() {
 			var t quota.Testimony
 			if err := h.deps.Pool.Call(ctx, addr, "Node.Fence", &wire.FenceArgs{Witness: id, Holder: r.id}, &t); err != nil {
-				t = quota.Testimony{}
+				replies <- nil
+				return
 			}
-			replies <- t
+			replies <- &t
 		}()
 	}
 	var words []quota.Testimony
 	for range r.witnesses {
-		words = append(words, <-replies)
+		if t := <-replies; t != nil {
+			words = append(words, *t)
+		}
 	}
 	return words
 }
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -16,8 +16,9 @@
 
 // Times of the budgets' loop.
 const (
-	budgetTick    = 25 * time.Millisecond
-	statementTime = 300 * time.Millisecond
+	budgetTick         = 25 * time.Millisecond
+	statementTime      = 300 * time.Millisecond
+	firstStatementTime = 100 * time.Millisecond
 	// reserveWait is how long a request waits for tokens that the customer has,
 	// while the control group answers.
 	reserveWait = 250 * time.Millisecond
@@ -145,7 +146,12 @@
 }
 
 func (b *budgets) send(ctx context.Context, s quota.Statement) {
-	ctx, cancel := context.WithTimeout(ctx, statementTime)
+	limit := statementTime
+	if s.Heard == 0 {
+		// Its age decides what is billed of an earlier holder, so it must be fresh.
+		limit = firstStatementTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := ctrl.Call[wire.QuotaReply](ctx, b.n.client, "Control.Quota", &s)
 	b.mu.Lock()
