Prove the budgets by a fuzz test; judge a dead holder only at the leader

A host that was about to lead answered 'nothing known' and booked the statement once it led; a leader that had lost its disk left the gap unknown; witnesses that were stopping kept the reserve shut in a cut.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -106,12 +106,14 @@
 	return Entry{Holder: h.id, Heard: h.heard}, h.witnesses, true
 }
 
-// Witnessed says how many witnesses have recorded an entry.
-func (h *Holder) Witnessed(now time.Time, e Entry, n int) {
+// Witnessed says how many witnesses have recorded an entry, and tells whether the
+// reserve may be used now.
+func (h *Holder) Witnessed(now time.Time, e Entry, n int) bool {
 	cutOff := now.Sub(h.answeredAt) >= h.opts.CutOff
 	if e.Holder == h.id && e.Heard == h.heard && cutOff && n >= len(h.witnesses) {
 		h.entered = true
 	}
+	return h.entered
 }
 
 // limit is what a purse may spend in all.
@@ -294,3 +296,6 @@
 
 // Leave makes the next statement the last one: it gives everything back.
 func (h *Holder) Leave() { h.left = true }
+
+// Asking is the Seq of the statement that waits for its answer, or 0.
+func (h *Holder) Asking() uint64 { return h.asking }
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -24,6 +24,8 @@
 	// tightRequests is the number of the largest requests per holder below which
 	// nothing is handed out ahead of need, since parts would be too small to use.
 	tightRequests = 2
+	// shortFor is how long an unmet need makes the others give back.
+	shortFor = 500 * time.Millisecond
 	// quietAfter is the time without a statement after which a holder's demand
 	// no longer counts.
 	quietAfter = 3 * time.Second
@@ -37,6 +39,9 @@
 	// Billed is what ended holders spent.
 	Billed Tokens                `cbor:"3,keyasint"`
 	Rows   map[fleet.NodeID]*Row `cbor:"4,keyasint"`
+	// ShortBy is the holder that lately needed more than was free, at ShortAt.
+	ShortBy fleet.NodeID `cbor:"5,keyasint,omitempty"`
+	ShortAt time.Time    `cbor:"6,keyasint"`
 }
 
 // Row is one holder's allowance.
@@ -243,14 +248,34 @@
 		more := min(max(fair, u.Need)-(r.Granted-r.Used), a.Paid-a.committed())
 		r.Granted += max(more, 0)
 		r.Mark = min(max(u.Mark, r.Mark, r.Used+u.Need), r.Granted)
+		a.noteShort(now, id, u.Need > r.Granted-r.Used)
 	}
 	out := Allowance{Customer: u.Customer, Granted: r.Granted, Mark: r.Mark, Unspent: unused}
-	if float64(r.Granted-r.Used) > recallAbove*float64(max(fair, u.Need)) {
-		out.Recall, out.Keep = true, r.Used+max(fair, u.Need)
+	wanted := a.wanted(now, id)
+	if wanted {
+		fair = 0
+	}
+	if keep := max(fair, u.Need); wanted || float64(r.Granted-r.Used) > recallAbove*float64(keep) {
+		out.Recall, out.Keep = true, r.Used+keep
 	}
 	return out
 }
 
+// noteShort keeps who needs more than is free, so that others give back.
+func (a *Account) noteShort(now time.Time, id fleet.NodeID, short bool) {
+	switch {
+	case short:
+		a.ShortBy, a.ShortAt = id, now
+	case a.ShortBy == id:
+		a.ShortBy = ""
+	}
+}
+
+// wanted tells whether another holder needs what this one does not use.
+func (a *Account) wanted(now time.Time, id fleet.NodeID) bool {
+	return a.ShortBy != "" && a.ShortBy != id && now.Sub(a.ShortAt) < shortFor
+}
+
 // fair is what a holder should have ahead of what is in use: its part of the
 // demand, at most for the horizon, and nothing where parts would be too small.
 func (l *Ledger) fair(now time.Time, a *Account, r *Row, unused Tokens) Tokens {
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,237 @@
+package quota_test
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/quota"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestNeverOverspent drives budgets through kills and restarts at the same
+// address, cuts from control and from all, lost, repeated and late messages,
+// payments and new leaders. The oracle: what engines used, with the worst case of
+// all that may still run, is never above what was paid. After all is healed,
+// whatever is left can be reserved at any node.
+func TestNeverOverspent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 5).Draw(t, "hosts"))
+		t.Repeat(map[string]func(*rapid.T){
+			"":        w.check,
+			"time":    w.stepTime,
+			"time2":   w.stepTime,
+			"request": w.stepRequest,
+			"serve":   w.stepServe,
+			"serve2":  w.stepServe,
+			"serve3":  w.stepServe,
+			"serve4":  w.stepServe,
+			"end":     w.stepEnd,
+			"state":   w.stepState,
+			"state2":  w.stepState,
+			"enter":   w.stepEnter,
+			"deliver": w.stepDeliver,
+			"flow":    w.stepFlow,
+			"lose":    w.stepLose,
+			"kill":    w.stepKill,
+			"start":   w.stepStart,
+			"cut":     w.stepCut,
+			"pay":     w.stepPay,
+			"lead":    w.stepLead,
+		})
+		w.heal(t)
+	})
+}
+
+// heal ends all faults and requests, and checks that what the ledger has left can
+// be reserved at each node.
+func (w *world) heal(t *rapid.T) {
+	w.net = nil
+	for _, h := range w.hosts {
+		h.cutOff, h.lonely = false, false
+		if !h.alive {
+			w.start(h)
+		}
+		for _, r := range h.running {
+			h.holder.Settle(w.now, r.id, 0)
+		}
+		for _, r := range h.waiting {
+			h.holder.GiveUp(r.id, r.customer)
+		}
+		h.running, h.waiting = nil, nil
+		h.holder.Lost(h.holder.Asking())
+	}
+	w.rounds(40)
+	for _, h := range w.hosts {
+		for _, c := range customers {
+			if left := w.left(c); left > 0 {
+				w.reserveSoon(t, h, c, left)
+			}
+		}
+	}
+}
+
+// rounds lets all nodes state and hear.
+func (w *world) rounds(n int) {
+	for range n {
+		w.now = w.now.Add(120 * time.Millisecond)
+		w.ledger.Tick(w.stamp())
+		for _, h := range w.hosts {
+			h.holder.Lost(h.holder.Asking())
+			if h.holder.Due(w.now) {
+				w.state(h)
+			}
+		}
+		w.stepFlow(nil)
+	}
+}
+
+// left is what the ledger has not billed.
+func (w *world) left(customer string) quota.Tokens {
+	a := w.ledger.Accounts[customer]
+	sum := a.Paid - a.Billed
+	for _, r := range a.Rows {
+		sum -= r.Spent
+	}
+	return sum
+}
+
+func (w *world) reserveSoon(t *rapid.T, h *host, customer string, worst quota.Tokens) {
+	var err error
+	for range 60 {
+		err = h.holder.Reserve(w.now, "last", customer, worst)
+		if err == nil {
+			h.holder.Settle(w.now, "last", 0)
+			w.rounds(2)
+			return
+		}
+		w.rounds(1)
+	}
+	t.Fatalf("%d tokens of %s are left and can't be reserved: %v", worst, customer, err)
+}
+
+type fleetID = fleet.NodeID
+
+var (
+	addrA = netip.MustParseAddrPort("10.0.0.1:7000")
+	addrB = netip.MustParseAddrPort("10.0.0.2:7000")
+)
+
+// pair is a holder and its ledger, with a clock.
+type pair struct {
+	now    time.Time
+	ledger *quota.Ledger
+	holder *quota.Holder
+}
+
+func newPair(paid quota.Tokens) *pair {
+	p := &pair{now: time.Unix(1_700_000_000, 0), ledger: quota.NewLedger()}
+	p.ledger.SetPrepaid(map[string]quota.Tokens{"acme": paid})
+	p.holder = quota.NewHolder("entry-1", addrA, quota.DefaultOptions(), p.now)
+	p.holder.SetCustomers(p.now, []string{"acme"})
+	return p
+}
+
+func (p *pair) exchange() {
+	s := p.holder.Statement(p.now)
+	p.holder.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+}
+
+// A request that waits keeps the mark that it was given, though a statement goes
+// out before it is tried again.
+func TestWaitingKeepsItsMark(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.exchange()
+	var refused *quota.RefusedError
+	is.True(errors.As(p.holder.Reserve(p.now, "r1", "acme", 900), &refused))
+	is.Equal(refused.Reason, quota.Elsewhere)
+	p.exchange()
+	p.holder.Statement(p.now) // on its way
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+}
+
+// A holder that has used nothing gives back what another one needs.
+func TestIdleHolderGivesBack(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000)
+	p.exchange()
+	other := quota.NewHolder("entry-2", addrB, quota.DefaultOptions(), p.now)
+	other.SetCustomers(p.now, []string{"acme"})
+	var err error
+	for range 4 {
+		err = other.Reserve(p.now, "r1", "acme", 1_000)
+		s := other.Statement(p.now)
+		other.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+		p.exchange()
+	}
+	is.NoErr(err)
+}
+
+// The reserve opens only after the cut-off, and only with all witnesses.
+func TestReserveNeedsWitnesses(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3"})
+	p.exchange()
+	p.exchange()
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil) // no mark ahead without demand
+	p.now = p.now.Add(quota.DefaultOptions().CutOff - time.Millisecond)
+	_, _, wanted := p.holder.Entry(p.now)
+	is.True(!wanted)
+	p.now = p.now.Add(time.Millisecond)
+	e, ids, wanted := p.holder.Entry(p.now)
+	is.True(wanted)
+	is.Equal(len(ids), 2)
+	p.holder.Witnessed(p.now, e, 1)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	p.holder.Witnessed(p.now, e, 2)
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+}
+
+// An allowance that was lowered is not spent beyond, though the mark was higher.
+func TestMarkFollowsLoweredAllowance(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000)
+	p.exchange()
+	_ = p.holder.Reserve(p.now, "r1", "acme", 800)
+	p.exchange()
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 800))
+	p.holder.Settle(p.now, "r1", 0)
+	other := quota.NewHolder("entry-2", addrB, quota.DefaultOptions(), p.now)
+	other.SetCustomers(p.now, []string{"acme"})
+	granted := false
+	for range 4 {
+		granted = granted || other.Reserve(p.now, "r2", "acme", 900) == nil
+		s := other.Statement(p.now)
+		other.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+		p.exchange()
+	}
+	is.True(granted)
+	is.True(p.holder.Reserve(p.now, "r3", "acme", 200) != nil)
+}
+
+// What the witnesses say of an ended holder.
+func TestJudge(t *testing.T) {
+	life := quota.Life{Heard: 7, Witnesses: []fleetID{"a", "b"}}
+	clear, used, lost := quota.Testimony{Valid: true, Entered: 6}, quota.Testimony{Valid: true, Entered: 7}, quota.Testimony{}
+	for name, c := range map[string]struct {
+		words []quota.Testimony
+		want  quota.Verdict
+	}{
+		"one that has not seen it is enough": {[]quota.Testimony{clear}, quota.Cleared},
+		"one that has seen it decides":       {[]quota.Testimony{clear, used}, quota.Used},
+		"nobody answers":                     {nil, quota.Open},
+		"one is lost, one silent":            {[]quota.Testimony{lost}, quota.Open},
+		"both are lost":                      {[]quota.Testimony{lost, lost}, quota.Used},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(life.Judge(c.words), c.want)
+		})
+	}
+}
--- /dev/null
+++ b/core/quota/world_test.go
@@ -0,0 +1,407 @@
+package quota_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/quota"
+
+	"pgregory.net/rapid"
+)
+
+// customers are the customers of the world: one, so that faults meet.
+var customers = []string{"acme"}
+
+// request is one that was reserved and has not ended.
+type request struct {
+	id, customer string
+	worst        quota.Tokens
+}
+
+// host runs one node at a time; a restart gives it another id and no memory.
+type host struct {
+	addr    netip.AddrPort
+	id      fleet.NodeID
+	alive   bool
+	began   time.Time
+	holder  *quota.Holder
+	witness *quota.Witness
+	running []request
+	// waiting were refused and not given up.
+	waiting []request
+	// cutOff parts the host from control, lonely from the other hosts too.
+	cutOff, lonely bool
+}
+
+// message is on its way; deliver carries it out and may be called more than once.
+type message struct {
+	deliver func()
+}
+
+// world drives holders, witnesses and a ledger over a network that loses,
+// repeats and delays, and keeps the true account.
+type world struct {
+	now    time.Time
+	opts   quota.Options
+	ledger *quota.Ledger
+	moment quota.Moment
+	hosts  []*host
+	net    []message
+	lives  int
+	reqs   int
+	paid   map[string]quota.Tokens
+	// most is the most that was ever paid, spent what engines truly used or may
+	// still use for hosts that died.
+	most, spent map[string]quota.Tokens
+}
+
+func newWorld(hosts int) *world {
+	w := &world{
+		now: time.Unix(1_700_000_000, 0), opts: quota.DefaultOptions(), ledger: quota.NewLedger(),
+		moment: quota.Moment{Term: 1, By: 1},
+		paid:   map[string]quota.Tokens{}, most: map[string]quota.Tokens{}, spent: map[string]quota.Tokens{},
+	}
+	for _, c := range customers {
+		w.setPaid(c, 10_000)
+	}
+	for i := range hosts {
+		h := &host{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)}
+		w.hosts = append(w.hosts, h)
+		w.start(h)
+	}
+	return w
+}
+
+func (w *world) setPaid(customer string, paid quota.Tokens) {
+	w.paid[customer] = paid
+	w.most[customer] = max(w.most[customer], paid)
+	w.ledger.SetPrepaid(w.paid)
+}
+
+func (w *world) start(h *host) {
+	w.lives++
+	h.id = fleet.NodeID(fmt.Sprint("entry-", w.lives))
+	h.alive, h.began, h.running, h.waiting = true, w.now, nil, nil
+	h.holder = quota.NewHolder(h.id, h.addr, w.opts, w.now)
+	h.holder.SetCustomers(w.now, customers)
+	h.witness = quota.NewWitness(h.id)
+}
+
+func (w *world) send(f func()) { w.net = append(w.net, message{f}) }
+
+func (w *world) pick(t *rapid.T, label string) *host {
+	return w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, label)]
+}
+
+func (w *world) stepTime(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{5, 60, 150, 700, 2600}).Draw(t, "ms")) * time.Millisecond)
+	w.ledger.Tick(w.stamp())
+}
+
+func (w *world) stamp() quota.Moment {
+	m := w.moment
+	m.At = w.now
+	return m
+}
+
+func (w *world) stepRequest(t *rapid.T) {
+	h := w.pick(t, "host")
+	if !h.alive {
+		return
+	}
+	w.reqs++
+	r := request{
+		id: fmt.Sprint("r", w.reqs), customer: rapid.SampledFrom(customers).Draw(t, "customer"),
+		worst: quota.Tokens(rapid.SampledFrom([]int{1, 90, 700, 2500}).Draw(t, "worst")),
+	}
+	if err := h.holder.Reserve(w.now, r.id, r.customer, r.worst); err != nil {
+		if rapid.Bool().Draw(t, "gives up") {
+			h.holder.GiveUp(r.id, r.customer)
+			return
+		}
+		h.waiting = append(h.waiting, r)
+		return
+	}
+	h.running = append(h.running, r)
+}
+
+func (w *world) stepEnd(t *rapid.T) {
+	h := w.pick(t, "host")
+	if !h.alive || len(h.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(h.running)-1).Draw(t, "request")
+	r := h.running[i]
+	used := quota.Tokens(rapid.IntRange(0, int(r.worst)).Draw(t, "used"))
+	h.running = slices.Delete(h.running, i, i+1)
+	w.spent[r.customer] += used
+	h.holder.Settle(w.now, r.id, used)
+}
+
+// stepServe has a node serve requests to their worst case, asking control for
+// tokens or opening the reserve where it can.
+func (w *world) stepServe(t *rapid.T) {
+	h := w.pick(t, "host")
+	if !h.alive {
+		return
+	}
+	worst := quota.Tokens(rapid.SampledFrom([]int{90, 700, 2500}).Draw(t, "worst"))
+	c := rapid.SampledFrom(customers).Draw(t, "customer")
+	keep := rapid.Bool().Draw(t, "keeps running")
+	for range rapid.IntRange(1, 6).Draw(t, "requests") {
+		w.now = w.now.Add(30 * time.Millisecond)
+		w.ledger.Tick(w.stamp())
+		w.reqs++
+		r := request{id: fmt.Sprint("r", w.reqs), customer: c, worst: worst}
+		if h.holder.Reserve(w.now, r.id, c, worst) != nil {
+			w.ask(h)
+			if h.holder.Reserve(w.now, r.id, c, worst) != nil {
+				h.holder.GiveUp(r.id, c)
+				continue
+			}
+		}
+		if keep {
+			h.running = append(h.running, r)
+			continue
+		}
+		w.spent[c] += worst
+		h.holder.Settle(w.now, r.id, worst)
+	}
+}
+
+// ask sends what the node wants to send, and lets it arrive.
+func (w *world) ask(h *host) {
+	w.enter(h)
+	if h.holder.Due(w.now) {
+		w.state(h)
+	}
+	w.stepFlow(nil)
+	if h.cutOff {
+		h.holder.Lost(h.holder.Asking())
+	}
+}
+
+func (w *world) stepState(t *rapid.T) {
+	h := w.pick(t, "host")
+	if h.alive && h.holder.Due(w.now) {
+		w.state(h)
+	}
+}
+
+func (w *world) state(h *host) {
+	var others []fleet.NodeID
+	for _, o := range w.hosts {
+		if o != h && o.alive {
+			others = append(others, o.id)
+		}
+	}
+	h.holder.SetWitnesses(others[:min(len(others), 3)])
+	s := h.holder.Statement(w.now)
+	holder, sentAt := h.holder, w.now
+	w.send(func() {
+		if h.cutOff {
+			return
+		}
+		w.book(h, holder, s, sentAt)
+	})
+}
+
+// book applies a statement as a leader does, and sends the answer back.
+func (w *world) book(h *host, holder *quota.Holder, s quota.Statement, _ time.Time) {
+	prompt, decided := w.judge(s)
+	if !decided {
+		return
+	}
+	s.Prompt = prompt
+	answers := w.ledger.Apply(w.stamp(), s)
+	ended := w.ledger.Ended(s.Holder)
+	w.send(func() {
+		if h.cutOff || h.holder != holder || !h.alive {
+			return
+		}
+		if ended {
+			w.lives++
+			holder.Renew(fleet.NodeID(fmt.Sprint("entry-", w.lives)))
+			return
+		}
+		holder.Answered(w.now, s.Seq, answers)
+	})
+}
+
+// judge decides whether a replaced holder can't have used its reserve.
+func (w *world) judge(s quota.Statement) (prompt, decided bool) {
+	if _, known := w.ledger.Holders[s.Holder]; known {
+		return false, true
+	}
+	id, ok := w.ledger.EarlierAt(s.Addr, s.Holder)
+	if !ok {
+		return false, true
+	}
+	life := *w.ledger.Holders[id]
+	if !life.Sure.At.IsZero() && w.now.Sub(life.Sure.At)-s.Age < w.opts.CutOff {
+		return true, true
+	}
+	var words []quota.Testimony
+	for _, o := range w.hosts {
+		if !o.alive || o.cutOff || !w.witnessAt(life, o) {
+			continue
+		}
+		words = append(words, o.witness.Fence(witnessOf(life, o, w), id))
+	}
+	switch life.Judge(words) {
+	case quota.Cleared:
+		return true, true
+	case quota.Open:
+		return false, s.Age > 3*time.Second
+	}
+	return false, true
+}
+
+// witnessAt tells whether one of the life's witnesses was at a host's address.
+func (w *world) witnessAt(life quota.Life, o *host) bool {
+	return witnessOf(life, o, w) != ""
+}
+
+func witnessOf(life quota.Life, o *host, w *world) fleet.NodeID {
+	for _, id := range life.Witnesses {
+		if l, ok := w.ledger.Holders[id]; ok && l.Addr == o.addr {
+			return id
+		}
+	}
+	return ""
+}
+
+func (w *world) stepEnter(t *rapid.T) {
+	if h := w.pick(t, "host"); h.alive {
+		w.enter(h)
+	}
+}
+
+func (w *world) enter(h *host) {
+	e, ids, wanted := h.holder.Entry(w.now)
+	if !wanted {
+		return
+	}
+	holder := h.holder
+	acks := 0
+	for _, id := range ids {
+		e := e
+		e.Witness = id
+		acked := false
+		w.send(func() {
+			o := w.byID(id)
+			if o == nil || h.lonely || o.lonely || acked || !o.witness.Enter(e) {
+				return
+			}
+			acked = true
+			acks++
+			n := acks
+			w.send(func() {
+				if h.alive && h.holder == holder && !h.lonely {
+					holder.Witnessed(w.now, e, n)
+				}
+			})
+		})
+	}
+}
+
+func (w *world) byID(id fleet.NodeID) *host {
+	for _, h := range w.hosts {
+		if h.alive && h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// stepDeliver delivers a message, and may keep it for later again.
+func (w *world) stepDeliver(t *rapid.T) {
+	if len(w.net) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.net)-1).Draw(t, "message")
+	m := w.net[i]
+	if rapid.IntRange(0, 4).Draw(t, "again") > 0 {
+		w.net = slices.Delete(w.net, i, i+1)
+	}
+	m.deliver()
+}
+
+// stepFlow delivers all there is, in order.
+func (w *world) stepFlow(*rapid.T) {
+	for range 200 {
+		if len(w.net) == 0 {
+			return
+		}
+		m := w.net[0]
+		w.net = w.net[1:]
+		m.deliver()
+	}
+}
+
+func (w *world) stepLose(t *rapid.T) {
+	h := w.pick(t, "host")
+	if h.alive {
+		h.holder.Lost(h.holder.Asking())
+	}
+}
+
+func (w *world) stepKill(t *rapid.T) {
+	h := w.pick(t, "host")
+	w.kill(h)
+}
+
+// kill ends a node; what its requests may still use counts as used.
+func (w *world) kill(h *host) {
+	if !h.alive {
+		return
+	}
+	h.alive = false
+	for _, r := range h.running {
+		w.spent[r.customer] += r.worst
+	}
+	h.running = nil
+}
+
+func (w *world) stepStart(t *rapid.T) {
+	if h := w.pick(t, "host"); !h.alive {
+		w.start(h)
+	}
+}
+
+func (w *world) stepCut(t *rapid.T) {
+	h := w.pick(t, "host")
+	h.cutOff = rapid.Bool().Draw(t, "cut off")
+	h.lonely = h.cutOff && rapid.Bool().Draw(t, "lonely")
+}
+
+func (w *world) stepPay(t *rapid.T) {
+	c := rapid.SampledFrom(customers).Draw(t, "customer")
+	w.setPaid(c, max(w.paid[c]+quota.Tokens(rapid.IntRange(-3000, 5000).Draw(t, "tokens")), 0))
+}
+
+// stepLead changes the leader: moments of the former one can't be compared.
+func (w *world) stepLead(*rapid.T) {
+	w.moment.Term++
+	w.moment.By = w.moment.By%3 + 1
+}
+
+// check is the oracle: engines never use more than was ever paid.
+func (w *world) check(t *rapid.T) {
+	for _, c := range customers {
+		total := w.spent[c]
+		for _, h := range w.hosts {
+			for _, r := range h.running {
+				if r.customer == c {
+					total += r.worst
+				}
+			}
+		}
+		if total > w.most[c] {
+			t.Fatalf("%s: %d may be used, %d were paid", c, total, w.most[c])
+		}
+	}
+}
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -31,7 +31,7 @@
 	}
 	st := *args
 	var decided bool
-	if st.Prompt, decided = h.prompt(st); !decided {
+	if st.Prompt, decided = h.prompt(st, bootTime()); !decided {
 		reply.NotLeader = true
 		return nil
 	}
@@ -85,14 +85,19 @@
 // prompt tells whether the holder that a newcomer replaces can't have used its
 // reserve: the newcomer's process was started less than CutOff after the last
 // statement that the earlier holder had an answer to, or its witnesses say so. It
-// is not decided while those who may know more can't be reached.
-func (h *Host) prompt(st quota.Statement) (prompt, decided bool) {
+// is not decided while those who may know more can't be reached. The statement
+// came at the boot time arrived.
+func (h *Host) prompt(st quota.Statement, arrived time.Duration) (prompt, decided bool) {
 	r, ok := h.replaces(st)
-	if !ok || !r.leading {
+	if !ok {
 		return false, true
 	}
+	if !r.leading {
+		// This host may lead by the time that the statement is booked.
+		return false, false
+	}
 	gap, known := h.gap(r)
-	gap -= st.Age
+	gap -= st.Age + bootTime() - arrived
 	verdict := quota.Cleared
 	var words []quota.Testimony
 	if !known || gap >= h.deps.CutOff {
@@ -148,8 +153,9 @@
 
 // elapsedSince asks all members how long ago they wrote the last entry of a
 // moment's term, and takes the longest: a clock that was set back makes it
-// shorter. The term's leader must be among them, since the others may have
-// written late.
+// shorter. Where the term's leader is not among those that answer, a majority must
+// be, and an election time is added: a leader that they hear from later than that
+// steps down.
 func (h *Host) elapsedSince(m quota.Moment) (time.Duration, bool) {
 	var members []raft.Member
 	if !h.view(func(time.Time) { members = h.machine.Status().Members.Members }) {
@@ -167,16 +173,21 @@
 		}()
 	}
 	var longest time.Duration
+	known := 0
 	fromLeader := false
 	for range members {
 		r := <-replies
 		if !r.Known {
 			continue
 		}
+		known++
 		longest = max(longest, r.Since)
 		fromLeader = fromLeader || uint64(r.Member) == m.By
 	}
-	return longest, fromLeader
+	if !fromLeader {
+		longest += raft.DefaultElection
+	}
+	return longest, fromLeader || known > len(members)/2
 }
 
 // Elapsed tells how long ago this host wrote the last entry of a term.
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -29,11 +29,8 @@
 	entryPause   = 100 * time.Millisecond
 )
 
-// Numbers of witnesses.
-const (
-	leastWitnesses = 2
-	maxWitnesses   = 3
-)
+// maxWitnesses bounds the nodes that must all know of the reserve's use.
+const maxWitnesses = 3
 
 // budgets drives the node's holder of prepaid budgets.
 type budgets struct {
@@ -178,26 +175,21 @@
 	b.send(ctx, s)
 }
 
-// setWitnesses chooses the witnesses of the reserve: nodes that are no control
-// hosts, since a cut that parts this node from control may part it from those.
+// setWitnesses chooses the witnesses of the reserve: nodes that stay and are no
+// control hosts, since a cut that parts this node from control parts it from
+// those. If there is none, the reserve needs nobody's word, and is billed whole if
+// this node dies.
 func (b *budgets) setWitnesses(alive []fleet.Peer) {
-	var near, all []fleet.NodeID
+	var ids []fleet.NodeID
 	for _, p := range alive {
-		if p.Addr == b.n.self {
-			continue
+		if p.Addr != b.n.self && !p.Disk && !p.Draining {
+			ids = append(ids, p.ID)
 		}
-		all = append(all, p.ID)
-		if !p.Disk {
-			near = append(near, p.ID)
-		}
-	}
-	if len(near) < leastWitnesses {
-		near = all
 	}
+	ids = fleet.Rendezvous(b.n.self.String(), ids)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	near = fleet.Rendezvous(b.n.self.String(), near)
-	b.holder.SetWitnesses(near[:min(len(near), maxWitnesses)])
+	b.holder.SetWitnesses(ids[:min(len(ids), maxWitnesses)])
 }
 
 // enter asks the witnesses to record that the reserve is to be used.
@@ -232,7 +224,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holder.Witnessed(time.Now(), e, n)
+	opened := b.holder.Witnessed(time.Now(), e, n)
+	b.n.log.Info("node: no answer on budgets, asked the witnesses of the reserve", zap.Int("witnesses", len(ids)),
+		zap.Int("recorded", n), zap.Bool("opened", opened))
 }
 
 // Enter records that a holder is about to use its reserve.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -216,6 +216,7 @@
 // Close turns unready, finishes the requests in progress until ctx ends, gives
 // the budgets back and stops.
 func (n *Node) Close(ctx context.Context) (int, error) {
+	n.mesh.Update(true, func(p *fleet.Peer) { p.Draining = true })
 	err := n.front.Close(ctx)
 	n.budgets.leave(ctx)
 	n.mesh.Update(true, func(p *fleet.Peer) { p.Left = true })
