Give scripts of the tests ports that no other script gets

The trace shows hosts of one script in the group of another: both were given the port 33xxx to 45xxx that the system had just freed, or took again for an outgoing connection.

Change: ports come from below the range of outgoing connections, and none is given out twice.

--- a/commands/script_test.go
+++ b/commands/script_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,14 +48,37 @@
 	})
 }
 
+// The ports that scripts get. They lie below the range from which the system
+// takes ports for outgoing connections, and none is given out twice, so that
+// scripts that run side by side can't come into each other's way.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(firstPort + int64(os.Getpid()%100)*150) }
+
 // cmdPorts sets variables to free loopback addresses: ports NAME...
 func cmdPorts(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer func() { _ = ln.Close() }()
-		ts.Setenv(name, ln.Addr().String())
+		ts.Setenv(name, freeAddr(ts))
+	}
+}
+
+func freeAddr(ts *testscript.TestScript) string {
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		ts.Check(ln.Close())
+		return addr
 	}
+	ts.Fatalf("no port is free")
+	return ""
 }
 
 // cmdCall sends a request and writes status, headers and body to the file
