Log one bounded line a request; end silent holders; state only what changed

Change: a ring that never blocks takes log lines within a budget and says what it drops; each request ends with one line that has the inputs and their age; metrics by OpenTelemetry on an address of their own. A leader ends holders that are silent for 6 s at their mark once a witness refuses them the reserve. Statements name the customers that changed, all of them once a second; a commit is no longer announced by a message of its own.

--- a/commands/node.go
+++ b/commands/node.go
@@ -25,6 +25,8 @@
 	// leaveNotice is how long a node that leaves goes on taking requests: the
 	// balancer asks once a second and needs two answers.
 	leaveNotice = 2500 * time.Millisecond
+	// metricsTimeout bounds the head of a request for metrics.
+	metricsTimeout = 5 * time.Second
 	// stopMargin is kept of the stop's bound for the end of the process.
 	stopMargin = 500 * time.Millisecond
 )
@@ -74,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if err := serveMetrics(t, s); err != nil {
+		return err
+	}
 	t.Log.Info("node: listening", zap.Stringer("callers", s.Listen), zap.Stringer("internal", s.Internal))
 	followSettings(ctx, t.Log, file, n)
 	t.Log.Info("node: stopping")
@@ -115,6 +120,22 @@
 	return node.Start(deps)
 }
 
+// serveMetrics serves metrics until the process ends.
+func serveMetrics(t *telem.Telemetry, s *NodeSettings) error {
+	if !s.Metrics.IsValid() {
+		return nil
+	}
+	ln, err := listen(s.Metrics.String())
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", t.Metrics())
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: metricsTimeout}
+	go func() { _ = srv.Serve(ln) }()
+	return nil
+}
+
 func listen(addr string) (net.Listener, error) {
 	ln, err := net.Listen("tcp4", addr)
 	return ln, trace.Wrap(err)
--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -25,6 +25,8 @@
 	Ready    parse.Addr `json:"ready"`
 	API      parse.Addr `json:"api"`
 	Internal parse.Addr `json:"internal"`
+	// Metrics is where metrics are read; empty for none.
+	Metrics parse.Addr `json:"metrics"`
 	// Seeds are the API addresses of nodes that are known beforehand. The port of
 	// their internal addresses is this node's.
 	Seeds []parse.Addr `json:"seeds"`
@@ -143,5 +145,5 @@
 func (s *NodeSettings) place() fleet.Place { return fleet.Place(s.Place) }
 
 func (s *NodeSettings) telemetry() telem.Settings {
-	return telem.Settings{LogLevel: s.LogLevel, LogFormat: "json"}
+	return telem.Settings{LogLevel: s.LogLevel, Budget: telem.DefaultBudget()}
 }
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -20,6 +20,7 @@
 	purses   map[string]*purse
 	requests map[string]reservation
 	sentAt   time.Time
+	fullAt   time.Time
 	// answeredAt is when the latest answer came.
 	answeredAt time.Time
 	// asking is the Seq of the statement that waits for its answer, or 0.
@@ -55,6 +56,8 @@
 	keep    Tokens
 	unspent Tokens
 	rate    demand.Rate
+	// statedSpent and statedReserved are those of the latest statement.
+	statedSpent, statedReserved Tokens
 	// largest is the worst case of the largest request since largestAt.
 	largest   Tokens
 	largestAt time.Time
@@ -74,6 +77,7 @@
 	h.id = id
 	h.seq, h.heard, h.asking = 0, 0, 0
 	h.witnesses, h.entered = nil, false
+	h.fullAt = time.Time{}
 	h.requests = map[string]reservation{}
 	for c := range h.purses {
 		h.purses[c] = &purse{rate: h.purses[c].rate, waiting: h.purses[c].waiting}
@@ -230,12 +234,23 @@
 	h.short = false
 	h.asked = h.next
 	s := Statement{Witnesses: h.asked, Holder: h.id, Addr: h.addr, Seq: h.seq, Heard: h.heard, Left: h.left, Age: now.Sub(h.began)}
+	full := now.Sub(h.fullAt) >= h.opts.FullEvery
+	if full {
+		h.fullAt = now
+	}
 	for _, c := range h.customers() {
-		s.Uses = append(s.Uses, h.usage(now, c, h.purses[c]))
+		if p := h.purses[c]; full || h.left || p.changed() {
+			s.Uses = append(s.Uses, h.usage(now, c, p))
+		}
 	}
 	return s
 }
 
+// changed tells whether the ledger should hear of a customer.
+func (p *purse) changed() bool {
+	return !p.known || p.recall || len(p.waiting) > 0 || p.spent != p.statedSpent || p.reserved != p.statedReserved
+}
+
 func (h *Holder) customers() []string {
 	out := make([]string, 0, len(h.purses))
 	for c := range h.purses {
@@ -247,6 +262,7 @@
 
 func (h *Holder) usage(now time.Time, customer string, p *purse) Usage {
 	used := p.spent + p.reserved
+	p.statedSpent, p.statedReserved = p.spent, p.reserved
 	u := Usage{Customer: customer, Spent: p.spent, Reserved: p.reserved, Need: p.need(), Rate: p.rate.PerSecond(now), Largest: p.largest}
 	if h.left || p.recall {
 		u.GiveBack = true
@@ -291,6 +307,7 @@
 func (h *Holder) Lost(seq uint64) {
 	if seq == h.asking {
 		h.asking = 0
+		h.fullAt = time.Time{}
 	}
 }
 
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -179,6 +179,25 @@
 	}
 	if s.Left && fresh {
 		l.end(s.Holder, false)
+		return out
+	}
+	return append(out, l.recalls(now.At, s)...)
+}
+
+// recalls asks the holder of a statement to give back of the customers that it
+// does not name, where another holder is short.
+func (l *Ledger) recalls(now time.Time, s Statement) []Allowance {
+	var out []Allowance
+	for _, c := range slices.Sorted(maps.Keys(l.Accounts)) {
+		a := l.Accounts[c]
+		r, ok := a.Rows[s.Holder]
+		named := slices.ContainsFunc(s.Uses, func(u Usage) bool { return u.Customer == c })
+		if !ok || named || !a.Bounded || !a.wanted(now, s.Holder) {
+			continue
+		}
+		out = append(out, Allowance{
+			Customer: c, Granted: r.Granted, Mark: r.Mark, Recall: true, Keep: r.Used, Unspent: a.unused(),
+		})
 	}
 	return out
 }
@@ -312,6 +331,21 @@
 	return now.Sub(l.Holders[id].Last.At) > quietAfter
 }
 
+// Ending ends a holder that is silent since its statement Seq, and whose
+// witnesses refuse to let it use its reserve from now on.
+type Ending struct {
+	Holder fleet.NodeID `cbor:"1,keyasint"`
+	Seq    uint64       `cbor:"2,keyasint"`
+}
+
+// End bills a silent holder at its mark, unless it has spoken up since. It may
+// still live: then it learns of it from its next answer.
+func (l *Ledger) End(e Ending) {
+	if h, ok := l.Holders[e.Holder]; ok && !h.Ended && h.Seq == e.Seq {
+		l.end(e.Holder, false)
+	}
+}
+
 // Ended tells whether a holder was ended.
 func (l *Ledger) Ended(id fleet.NodeID) bool {
 	h, ok := l.Holders[id]
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -12,6 +12,9 @@
 	Ahead time.Duration
 	// Interval is the time between two statements.
 	Interval time.Duration
+	// FullEvery is the time between two statements that name all customers; those
+	// in between name what has changed.
+	FullEvery time.Duration
 	// Urgent is the least time between two statements when tokens run low.
 	Urgent time.Duration
 	// RateHalfLife is the half-life of the demand estimate.
@@ -25,7 +28,8 @@
 	return Options{
 		CutOff:       2400 * time.Millisecond,
 		Ahead:        2500 * time.Millisecond,
-		Interval:     100 * time.Millisecond,
+		Interval:     150 * time.Millisecond,
+		FullEvery:    time.Second,
 		Urgent:       10 * time.Millisecond,
 		RateHalfLife: 3 * time.Second,
 		LargestLife:  10 * time.Second,
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -244,14 +245,7 @@
 	if !life.Sure.At.IsZero() && w.now.Sub(life.Sure.At)-s.Age < w.opts.CutOff {
 		return true, true
 	}
-	var words []quota.Testimony
-	for _, o := range w.hosts {
-		if !o.alive || o.cutOff || !w.witnessAt(life, o) {
-			continue
-		}
-		words = append(words, o.witness.Fence(witnessOf(life, o, w), id))
-	}
-	switch life.Judge(words) {
+	switch life.Judge(w.testimonies(life, id)) {
 	case quota.Cleared:
 		return true, true
 	case quota.Open:
@@ -260,6 +254,31 @@
 	return false, true
 }
 
+// stepEndSilent ends a holder that has been silent, as a leader does: its
+// witnesses are asked first, and the ending arrives later.
+func (w *world) stepEndSilent(t *rapid.T) {
+	for _, id := range slices.Sorted(maps.Keys(w.ledger.Holders)) {
+		life := *w.ledger.Holders[id]
+		if life.Ended || w.now.Sub(life.Last.At) < w.opts.CutOff {
+			continue
+		}
+		if life.Judge(w.testimonies(life, id)) == quota.Cleared {
+			w.send(func() { w.ledger.End(quota.Ending{Holder: id, Seq: life.Seq}) })
+		}
+	}
+}
+
+// testimonies asks the witnesses that control can reach.
+func (w *world) testimonies(life quota.Life, id fleet.NodeID) []quota.Testimony {
+	var words []quota.Testimony
+	for _, o := range w.hosts {
+		if o.alive && !o.cutOff && w.witnessAt(life, o) {
+			words = append(words, o.witness.Fence(witnessOf(life, o, w), id))
+		}
+	}
+	return words
+}
+
 // witnessAt tells whether one of the life's witnesses was at a host's address.
 func (w *world) witnessAt(life quota.Life, o *host) bool {
 	return witnessOf(life, o, w) != ""
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -219,5 +219,6 @@
 		m.becomeFollower(now, m.state.Term, 0)
 		return
 	}
-	m.broadcast(now, true)
+	// The others hear of it with the next entries or heartbeat.
+	m.broadcast(now, false)
 }
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -25,6 +25,30 @@
 	Canceled
 )
 
+// String names an outcome for logs and metrics.
+func (o Outcome) String() string {
+	return [...]string{"served", "rejected", "failed", "canceled"}[o]
+}
+
+// Choice is a chosen upstream, with what decided on it.
+type Choice struct {
+	Upstream fleet.Upstream
+	// InFlight are this node's requests at the upstream.
+	InFlight int
+	// Usable is the number of upstreams to choose from.
+	Usable int
+	// Rank is the upstream's place in the order of the request's homes, from 0 on;
+	// -1 where the request has none.
+	Rank int
+}
+
+// Log adds the inputs of the decision to a log line.
+func (c Choice) Log(addInt func(string, int), _ func(string, time.Duration)) {
+	addInt("in_flight", c.InFlight)
+	addInt("usable", c.Usable)
+	addInt("rank", c.Rank)
+}
+
 // Options tune a Balancer.
 type Options struct {
 	// LoadBound is how far above the mean load a request's home may be before
@@ -93,15 +117,20 @@
 func (b *Balancer) Ready(service string) int { return len(b.services[service]) }
 
 // Pick chooses an upstream.
-func (b *Balancer) Pick(now time.Time, q Query) (fleet.Upstream, bool) {
+func (b *Balancer) Pick(now time.Time, q Query) (Choice, bool) {
 	all := b.usable(now, q)
 	if len(all) == 0 {
-		return fleet.Upstream{}, false
+		return Choice{}, false
 	}
+	c := Choice{Usable: len(all), Rank: -1}
+	var t *target
 	if key, ok := q.affinity(); ok {
-		return b.home(key, all).up, true
+		t, c.Rank = b.home(key, all)
+	} else {
+		t = b.leastLoaded(all)
 	}
-	return b.leastLoaded(all).up, true
+	c.Upstream, c.InFlight = t.up, t.inFlight
+	return c, true
 }
 
 // usable lists the upstreams that may be tried: those that are left out only if
@@ -125,7 +154,7 @@
 
 // home is the first upstream in the key's rendezvous order that is not loaded
 // far above the mean.
-func (b *Balancer) home(key uint64, all []*target) *target {
+func (b *Balancer) home(key uint64, all []*target) (*target, int) {
 	type ranked struct {
 		t      *target
 		weight uint64
@@ -138,12 +167,12 @@
 	}
 	slices.SortFunc(order, func(x, y ranked) int { return cmp.Compare(y.weight, x.weight) })
 	bound := b.opts.LoadBound*float64(total)/float64(len(all)) + b.opts.LoadSlack
-	for _, r := range order {
+	for i, r := range order {
 		if float64(r.t.inFlight) <= bound {
-			return r.t
+			return r.t, i
 		}
 	}
-	return order[0].t
+	return order[0].t, 0
 }
 
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
--- a/core/sched/doc.go
+++ b/core/sched/doc.go
@@ -9,7 +9,7 @@
 //
 //	b := sched.New(sched.DefaultOptions(), "sialkot")
 //	b.SetUpstreams(now, ups)
-//	u, ok := b.Pick(now, sched.Query{Service: "desk", Parts: parts, Input: 900})
-//	b.Started(now, u.ID, q)
-//	b.Ended(now, u.ID, q, sched.Served)
+//	c, ok := b.Pick(now, sched.Query{Service: "desk", Parts: parts, Input: 900})
+//	b.Started(c.Upstream.ID)
+//	b.Ended(now, c.Upstream.ID, sched.Served)
 package sched
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -17,24 +17,25 @@
 	// while the leader's process lives.
 	At time.Time `cbor:"at"`
 	// By and Term name the leader that proposed the command.
-	By       uint64            `cbor:"by"`
-	Term     uint64            `cbor:"term"`
-	Apply    *ApplyConfig      `cbor:"apply,omitempty"`
-	TopUp    *ledger.TopUp     `cbor:"top_up,omitempty"`
-	Refills  []escrow.Refill   `cbor:"refills,omitempty"`
-	Spends   []escrow.Spend    `cbor:"spends,omitempty"`
-	Closes   []escrow.Close    `cbor:"closes,omitempty"`
-	Settle   []escrow.GrantID  `cbor:"settle,omitempty"`
-	Progress []ledger.Progress `cbor:"progress,omitempty"`
-	WriteOff *ledger.WriteOff  `cbor:"write_off,omitempty"`
-	Join     *fleet.Node       `cbor:"join,omitempty"`
-	Retire   fleet.NodeID      `cbor:"retire,omitempty"`
-	Leave    *Leave            `cbor:"leave,omitempty"`
-	Claim    *Claim            `cbor:"claim,omitempty"`
-	Finish   *FinishClaim      `cbor:"finish,omitempty"`
-	Order    *Order            `cbor:"order,omitempty"`
-	Publish  *Publish          `cbor:"publish,omitempty"`
-	Quota    *quota.Statement  `cbor:"quota,omitempty"`
+	By        uint64            `cbor:"by"`
+	Term      uint64            `cbor:"term"`
+	Apply     *ApplyConfig      `cbor:"apply,omitempty"`
+	TopUp     *ledger.TopUp     `cbor:"top_up,omitempty"`
+	Refills   []escrow.Refill   `cbor:"refills,omitempty"`
+	Spends    []escrow.Spend    `cbor:"spends,omitempty"`
+	Closes    []escrow.Close    `cbor:"closes,omitempty"`
+	Settle    []escrow.GrantID  `cbor:"settle,omitempty"`
+	Progress  []ledger.Progress `cbor:"progress,omitempty"`
+	WriteOff  *ledger.WriteOff  `cbor:"write_off,omitempty"`
+	Join      *fleet.Node       `cbor:"join,omitempty"`
+	Retire    fleet.NodeID      `cbor:"retire,omitempty"`
+	Leave     *Leave            `cbor:"leave,omitempty"`
+	Claim     *Claim            `cbor:"claim,omitempty"`
+	Finish    *FinishClaim      `cbor:"finish,omitempty"`
+	Order     *Order            `cbor:"order,omitempty"`
+	Publish   *Publish          `cbor:"publish,omitempty"`
+	Quota     *quota.Statement  `cbor:"quota,omitempty"`
+	EndHolder *quota.Ending     `cbor:"end_holder,omitempty"`
 }
 
 // Publish proposes a routing policy. The highest number is in force.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -82,6 +82,8 @@
 		return Result{Published: number, Accepted: accepted}
 	case c.Quota != nil:
 		return m.account(c.moment(), *c.Quota)
+	case c.EndHolder != nil:
+		m.Quota.End(*c.EndHolder)
 	case c.Retire != "":
 		m.Ledger.Retire(c.Retire)
 	default:
--- a/io/ctrl/duty.go
+++ b/io/ctrl/duty.go
@@ -27,6 +27,10 @@
 	proposed map[escrow.GrantID]time.Time
 	roster   *wire.Roster
 	builtFor uint64
+	// since is when this host began to lead; ending when it last tried to end a
+	// silent holder of budgets.
+	since  time.Time
+	ending map[fleet.NodeID]time.Time
 }
 
 // proposeAgain is the time after which an unanswered proposal is repeated.
@@ -46,6 +50,8 @@
 	d.denied = map[fleet.NodeID]map[string]escrow.Tokens{}
 	d.proposed = map[escrow.GrantID]time.Time{}
 	d.roster = nil
+	d.since = now
+	d.ending = map[fleet.NodeID]time.Time{}
 }
 
 func (d *duty) report(r escrow.Report) {
@@ -148,6 +154,7 @@
 	h.settleDead(now)
 	h.advanceSettling(now)
 	h.promoteJoined(now)
+	h.endSilent(now)
 	if h.deps.Replace {
 		h.replaceSilent(now)
 	}
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -23,6 +23,52 @@
 	decideWithin = 3 * time.Second
 )
 
+// Times of ending holders that are silent.
+const (
+	// holderSilence is longer than a holder in a cut waits before it uses its
+	// reserve, so that one that lives has told its witnesses.
+	holderSilence = 6 * time.Second
+	// endAgain is the time between two attempts to end a holder.
+	endAgain = 2 * time.Second
+)
+
+// endSilent looks for holders that have been silent for long, and ends those
+// whose witnesses have not seen them use their reserve. Loop only.
+func (h *Host) endSilent(now time.Time) {
+	for id, life := range h.state.Quota.Holders {
+		if life.Ended || now.Sub(h.duty.since) < holderSilence || now.Sub(h.duty.ending[id]) < endAgain {
+			continue
+		}
+		sameClock := life.Last.Term == h.machine.HardState().Term
+		if sameClock && h.steady().Sub(life.Last.At) < holderSilence {
+			continue
+		}
+		h.duty.ending[id] = now
+		r := replaced{id: id, life: *life, witnesses: h.witnessesOf(*life)}
+		h.wg.Go(func() { h.endHolder(r) })
+	}
+}
+
+func (h *Host) endHolder(r replaced) {
+	if r.life.Judge(h.testimonies(r)) != quota.Cleared {
+		return
+	}
+	h.log.Info("control: a silent holder of budgets is billed at its mark", zap.String("holder", string(r.id)),
+		zap.Stringer("addr", r.life.Addr))
+	h.commit(state.Command{EndHolder: &quota.Ending{Holder: r.id, Seq: r.life.Seq}})
+}
+
+// witnessesOf finds the addresses of a holder's witnesses. Loop only.
+func (h *Host) witnessesOf(life quota.Life) map[fleet.NodeID]netip.AddrPort {
+	out := map[fleet.NodeID]netip.AddrPort{}
+	for _, w := range life.Witnesses {
+		if l, ok := h.state.Quota.Holders[w]; ok {
+			out[w] = l.Addr
+		}
+	}
+	return out
+}
+
 // Quota takes in a holder's statement on its allowances.
 func (s *Service) Quota(args *quota.Statement, reply *wire.QuotaReply) error {
 	h, err := s.running()
@@ -72,12 +118,7 @@
 		r.now = h.steady()
 		r.leading = h.machine.Status().Role == raft.Leader
 		r.mine = r.leading && r.life.Sure.Term == h.machine.HardState().Term
-		r.witnesses = map[fleet.NodeID]netip.AddrPort{}
-		for _, w := range r.life.Witnesses {
-			if life, ok := l.Holders[w]; ok {
-				r.witnesses[w] = life.Addr
-			}
-		}
+		r.witnesses = h.witnessesOf(r.life)
 	})
 	return r, ok
 }
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/policy"
@@ -27,6 +28,8 @@
 	final      bool
 	refusal    *refusal
 	mayHaveRun bool
+	// status is the upstream's, or 0 if it did not answer.
+	status int
 }
 
 func done(o sched.Outcome) verdict { return verdict{outcome: o, final: true} }
@@ -38,6 +41,13 @@
 		return c.unanswered(ctx, err)
 	}
 	defer a.Close()
+	v := c.answered(ctx, a)
+	v.status = a.Status
+	return v
+}
+
+// answered judges an attempt whose answer has begun.
+func (c *call) answered(ctx context.Context, a *conns.Answer) verdict {
 	d := c.f.deps.Dialect
 	if d.NotRun(a.Status, a.Header) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxHeld))
@@ -93,6 +103,7 @@
 		}
 		copyHeader(c.w.Header(), a.Header)
 		c.w.Header().Set("Content-Length", strconv.Itoa(buf.Len()))
+		c.first = time.Now()
 		c.w.WriteHeader(a.Status)
 		_, _ = c.w.Write(buf.Bytes())
 		return done(sched.Served)
@@ -119,6 +130,7 @@
 	if a.Length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
+	c.first = time.Now()
 	c.w.WriteHeader(a.Status)
 	c.passed = true
 	if _, err := io.Copy(c.w, io.MultiReader(head, a.Body)); err != nil {
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -13,7 +13,6 @@
 	"dotterelgap/core/sched"
 
 	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
 )
 
 // call is one request of a caller, over all its attempts.
@@ -38,6 +37,12 @@
 	passed  bool // a part of the answer was passed on
 	lastErr error
 	stream  *relay
+
+	// first is when the first byte of the answer went out.
+	first time.Time
+	// reserved is how long the budget took.
+	reserved time.Duration
+	trail    trail
 }
 
 // ServeHTTP serves one request.
@@ -141,7 +146,9 @@
 	if c.service.Engine == nil || c.customer == "" || c.worst() == 0 {
 		return nil
 	}
+	began := time.Now()
 	err := c.f.deps.Budgets.Reserve(ctx, c.id, c.customer, c.worst())
+	c.reserved = time.Since(began)
 	if err == nil {
 		return nil
 	}
@@ -178,13 +185,11 @@
 		if len(c.tried) > 0 && last != errNoUpstream && !c.f.takeRetry(c.service.Name) {
 			return last
 		}
-		u, ok := c.f.pick(c.query())
+		choice, ok := c.f.pick(c.query())
 		if !ok {
 			return last
 		}
-		c.tried = append(c.tried, u.ID)
-		v := c.attempt(ctx, u)
-		c.f.ended(u.ID, v.outcome)
+		v := c.try(ctx, choice)
 		if v.final {
 			return v.refusal
 		}
@@ -199,6 +204,25 @@
 	return last
 }
 
+// try offers the request to the chosen upstream, and notes how that went.
+func (c *call) try(ctx context.Context, choice sched.Choice) verdict {
+	u := choice.Upstream
+	began := time.Now()
+	c.tried = append(c.tried, u.ID)
+	v := c.attempt(ctx, u)
+	c.f.ended(u.ID, v.outcome)
+	c.f.metrics.attempt(v.outcome)
+	t := try{
+		upstream: u.ID, addr: u.Addr.String(), choice: choice, outcome: v.outcome, status: v.status,
+		at: began.Sub(c.start), took: time.Since(began),
+	}
+	if v.outcome != sched.Served {
+		t.err = c.lastErr
+	}
+	c.trail = append(c.trail, t)
+	return v
+}
+
 func (c *call) query() sched.Query {
 	return sched.Query{
 		Service: c.service.Name, Parts: c.terms.Parts, Input: c.terms.Input, Output: c.terms.Output, Exclude: c.tried,
@@ -223,24 +247,3 @@
 	}
 	return t
 }
-
-// logEnd writes one line on how the request ended.
-func (c *call) logEnd(out *refusal) {
-	fields := []zap.Field{
-		zap.String("request", c.id), zap.Duration("took", time.Since(c.start)), zap.Strings("tried", c.tried),
-	}
-	if c.route != nil {
-		fields = append(fields, zap.String("route", c.route.Name), zap.String("customer", c.customer))
-	}
-	if c.table != nil {
-		fields = append(fields, zap.Uint64("policy", c.table.Number))
-	}
-	if c.lastErr != nil {
-		fields = append(fields, zap.NamedError("cause", c.lastErr))
-	}
-	if out == nil {
-		c.f.log.Debug("front: served", fields...)
-		return
-	}
-	c.f.log.Info("front: not served", append(fields, zap.String("outcome", out.code), zap.Int("status", out.status))...)
-}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -60,6 +60,7 @@
 	table   atomic.Pointer[policy.Table]
 	leaving atomic.Bool
 	wg      sync.WaitGroup
+	metrics *metrics
 
 	mu       sync.Mutex
 	balancer *sched.Balancer
@@ -71,7 +72,7 @@
 func Start(deps Deps) *Front {
 	f := &Front{
 		deps: deps, log: deps.Log, balancer: sched.New(deps.Sched, deps.Place),
-		retries: map[string]*sched.RetryBudget{}, entries: 1,
+		retries: map[string]*sched.RetryBudget{}, entries: 1, metrics: newMetrics(),
 	}
 	f.http = &http.Server{
 		Handler:           f,
@@ -167,14 +168,14 @@
 }
 
 // pick chooses an upstream and counts the request there.
-func (f *Front) pick(q sched.Query) (fleet.Upstream, bool) {
+func (f *Front) pick(q sched.Query) (sched.Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u, ok := f.balancer.Pick(time.Now(), q)
+	c, ok := f.balancer.Pick(time.Now(), q)
 	if ok {
-		f.balancer.Started(u.ID)
+		f.balancer.Started(c.Upstream.ID)
 	}
-	return u, ok
+	return c, ok
 }
 
 func (f *Front) ended(id string, o sched.Outcome) {
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -125,6 +125,7 @@
 		return
 	}
 	copyHeader(s.c.w.Header(), a.Header)
+	s.c.first = time.Now()
 	s.c.w.WriteHeader(a.Status)
 	s.c.passed = true
 }
--- a/io/telem/counter.go
+++ b/io/telem/counter.go
@@ -1,6 +1,8 @@
 package telem
 
 import (
+	"context"
+
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/metric"
 )
@@ -14,3 +16,26 @@
 	}
 	return c
 }
+
+// Seconds makes a histogram of times. Its bounds fit the time to a first token
+// and to a whole answer.
+func Seconds(part, name, help string) metric.Float64Histogram {
+	h, err := otel.Meter("dotterelgap/"+part).Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 16))
+	if err != nil {
+		otel.Handle(err)
+	}
+	return h
+}
+
+// Gauge observes a value whenever metrics are read.
+func Gauge(part, name, help string, read func() float64) {
+	_, err := otel.Meter("dotterelgap/"+part).Float64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	if err != nil {
+		otel.Handle(err)
+	}
+}
--- a/io/telem/telem.go
+++ b/io/telem/telem.go
@@ -28,6 +28,8 @@
 	LogLevel string `json:"log_level,omitempty"`
 	// LogFormat is console or json.
 	LogFormat string `json:"log_format,omitempty"`
+	// Budget bounds the log; the zero value sets no bound and writes at once.
+	Budget Budget `json:"-"`
 	// TraceFile gets the spans as JSON; "-" is the standard output, and empty
 	// turns tracing off.
 	TraceFile string `json:"trace_file,omitempty"`
@@ -38,6 +40,7 @@
 // Telemetry is a process's logger, meters and tracer.
 type Telemetry struct {
 	Log      *zap.Logger
+	ring     *Ring
 	registry *prometheus.Registry
 	closers  []func(context.Context) error
 }
@@ -45,11 +48,10 @@
 // Start sets up telemetry for a process with a role. Meters and tracers are
 // reached through OpenTelemetry's global providers.
 func Start(s Settings, role string) (*Telemetry, error) {
-	log, err := newLogger(s)
-	if err != nil {
+	t := &Telemetry{registry: prometheus.NewRegistry()}
+	if err := t.startLog(s); err != nil {
 		return nil, err
 	}
-	t := &Telemetry{Log: log, registry: prometheus.NewRegistry()}
 	if err := t.startMetrics(); err != nil {
 		return nil, err
 	}
@@ -59,13 +61,28 @@
 	return t, t.startTraces(s, role)
 }
 
-func newLogger(s Settings) (*zap.Logger, error) {
+func (t *Telemetry) startLog(s Settings) error {
 	level := zapcore.InfoLevel
 	if s.LogLevel != "" {
 		if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
-			return nil, trace.Wrap(err)
+			return trace.Wrap(err)
 		}
 	}
+	if s.Budget == (Budget{}) {
+		log, err := newLogger(s, level)
+		t.Log = log
+		return err
+	}
+	ring := NewRing(os.Stdout, s.Budget)
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	t.Log = zap.New(newRingCore(level, zapcore.NewJSONEncoder(cfg), ring))
+	t.ring = ring
+	return nil
+}
+
+func newLogger(s Settings, level zapcore.Level) (*zap.Logger, error) {
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(level)
 	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
@@ -132,6 +149,9 @@
 	for _, c := range t.closers {
 		errs = append(errs, c(context.Background()))
 	}
+	if t.ring != nil {
+		errs = append(errs, t.ring.Close())
+	}
 	// Syncing standard error fails on terminals and pipes; that loses nothing.
 	_ = t.Log.Sync()
 	return trace.NewAggregate(errs...)
