Open the reserve with half of the witnesses, clear a holder with the rest

Change: half of the witnesses must know before a reserve is used; a holder is cleared by so many that one of them would know.

--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -7,11 +7,11 @@
 // of Granted, with what ended holders are billed, is at most what was paid.
 //
 // A holder raises its mark ahead of its use, and goes beyond it, up to Granted,
-// only once it has had no answer for CutOff and its witnesses, other nodes, all
+// only once it has had no answer for CutOff and half of its witnesses, other nodes,
 // know of it. So when a holder dies, and its successor was started within CutOff or
-// one of the witnesses has not heard of it, the mark bounds what it spent, and the
-// rest of the allowance returns to the customer. Otherwise all of the allowance is
-// billed.
+// more than half of the witnesses have not heard of it, the mark bounds what it
+// spent, and the rest of the allowance returns to the customer. Otherwise all of
+// the allowance is billed.
 //
 // Both machines are pure: input, now, and effects as results.
 //
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -114,7 +114,7 @@
 // reserve may be used now.
 func (h *Holder) Witnessed(now time.Time, e Entry, n int) bool {
 	cutOff := now.Sub(h.answeredAt) >= h.opts.CutOff
-	if e.Holder == h.id && e.Heard == h.heard && cutOff && n >= len(h.witnesses) {
+	if e.Holder == h.id && e.Heard == h.heard && cutOff && n >= toEnter(len(h.witnesses)) {
 		h.entered = true
 	}
 	return h.entered
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -29,7 +29,7 @@
 	// at its address that can't have used its reserve: it was started within
 	// CutOff of it, or the earlier one's witnesses say so.
 	Prompt bool `cbor:"8,keyasint,omitempty"`
-	// Witnesses are the nodes that must all know before the holder uses its
+	// Witnesses are the nodes of which half must know before the holder uses its
 	// reserve. Without any it needs nobody's word.
 	Witnesses []fleet.NodeID `cbor:"9,keyasint,omitempty"`
 }
--- a/core/quota/witness.go
+++ b/core/quota/witness.go
@@ -62,24 +62,32 @@
 	Used
 )
 
-// Judge weighs the words of a holder's witnesses. One that has not seen it is
-// enough to clear it, since a holder needs all of them to enter.
+// toEnter is the number of witnesses, of n, that must know before a reserve is
+// used: half of them, so that one that is slow or dead does not keep it shut.
+func toEnter(n int) int { return (n + 1) / 2 }
+
+// toClear is the number of witnesses whose word clears a holder: any so many have
+// one among them that would know.
+func toClear(n int) int { return n - toEnter(n) + 1 }
+
+// Judge weighs the words of a holder's witnesses.
 func (h Life) Judge(words []Testimony) Verdict {
-	cleared, lost := false, len(h.Witnesses) == 0
+	cleared, lost := 0, 0
 	for _, t := range words {
 		switch {
 		case !t.Valid:
-			lost = true
+			lost++
 		case t.Entered > 0 && t.Entered >= h.Heard:
 			return Used
 		default:
-			cleared = true
+			cleared++
 		}
 	}
+	n := len(h.Witnesses)
 	switch {
-	case cleared:
+	case n > 0 && cleared >= toClear(n):
 		return Cleared
-	case lost && len(words) >= len(h.Witnesses):
+	case n-lost < toClear(n) || n == 0:
 		return Used
 	}
 	return Open
