Place by the earliest believed first token, with notices between nodes

Ruled out: waiting for budgets (p90 24 ms).

Change: a node believes of each engine how much prompt work it has and which parts it keeps, tells the others of each prompt by a datagram, and takes the engine with the earliest believed first token. Time spent on reading what another engine keeps counts five times, since it is lost to others. Slowness is learned from first tokens.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -88,11 +88,20 @@
 	c.ran = true
 	c.billed = max(c.billed, quota.Tokens(c.terms.Input))
 	if ctx.Err() != nil {
-		return verdict{outcome: sched.Canceled, final: true, refusal: errTimeout, mayHaveRun: true}
+		return verdict{outcome: c.ending(), final: true, refusal: errTimeout, mayHaveRun: true}
 	}
 	return verdict{outcome: sched.Failed, refusal: errLost, mayHaveRun: true}
 }
 
+// ending is the outcome of an attempt that was stopped: the caller left, or its
+// time was up.
+func (c *call) ending() sched.Outcome {
+	if c.r.Context().Err() != nil {
+		return sched.Canceled
+	}
+	return sched.TimedOut
+}
+
 // whole passes an answer on once all of it is here.
 func (c *call) whole(ctx context.Context, a *conns.Answer) verdict {
 	var buf bytes.Buffer
@@ -113,7 +122,7 @@
 	}
 	c.lastErr = err
 	if ctx.Err() != nil {
-		return verdict{outcome: sched.Canceled, final: true, refusal: errTimeout, mayHaveRun: true}
+		return verdict{outcome: c.ending(), final: true, refusal: errTimeout, mayHaveRun: true}
 	}
 	return verdict{outcome: sched.Failed, refusal: errLost, mayHaveRun: true}
 }
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -43,6 +43,10 @@
 	// reserved is how long the budget took.
 	reserved time.Duration
 	trail    trail
+	parts    []sched.PartKey
+	// choice and sent are those of the attempt in progress.
+	choice sched.Choice
+	sent   time.Time
 }
 
 // ServeHTTP serves one request.
@@ -100,6 +104,7 @@
 	if c.service, ok = c.table.Service(c.route.Service(xxhash.Sum64String(c.id))); !ok {
 		return errNoRoute
 	}
+	c.parts = sched.Keys(c.terms.Parts)
 	limit := c.route.Timeout
 	if c.terms.Deadline > 0 {
 		limit = min(limit, c.terms.Deadline)
@@ -209,6 +214,7 @@
 	u := choice.Upstream
 	began := time.Now()
 	c.tried = append(c.tried, u.ID)
+	c.choice, c.sent = choice, began
 	v := c.attempt(ctx, u)
 	c.f.ended(u.ID, v.outcome)
 	c.f.metrics.attempt(v.outcome)
@@ -225,7 +231,7 @@
 
 func (c *call) query() sched.Query {
 	return sched.Query{
-		Service: c.service.Name, Parts: c.terms.Parts, Input: c.terms.Input, Output: c.terms.Output, Exclude: c.tried,
+		Service: c.service.Name, Parts: c.parts, Input: c.terms.Input, Output: c.terms.Output, Exclude: c.tried,
 	}
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -47,6 +47,8 @@
 	Conns    *conns.Pool
 	Sched    sched.Options
 	Retry    RetryOptions
+	// Tell sends a notice to the other nodes. It must not block.
+	Tell func(sched.Notice)
 	// LeaveNotice is how long a front that leaves goes on serving while the
 	// balancer notices.
 	LeaveNotice time.Duration
@@ -105,7 +107,16 @@
 func (f *Front) SetUpstreams(ups []fleet.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.balancer.SetUpstreams(ups)
+	table := f.table.Load()
+	f.balancer.SetUpstreams(ups, func(service string) int {
+		if table == nil {
+			return 0
+		}
+		if s, ok := table.Service(service); ok && s.Engine != nil {
+			return s.Engine.KVTokens
+		}
+		return 0
+	})
 }
 
 // SetEntries says over how many entries the retry budget is spread.
@@ -171,11 +182,29 @@
 func (f *Front) pick(q sched.Query) (sched.Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c, ok := f.balancer.Pick(time.Now(), q)
-	if ok {
-		f.balancer.Started(c.Upstream.ID)
+	now := time.Now()
+	c, ok := f.balancer.Pick(now, q)
+	if !ok {
+		return c, false
 	}
-	return c, ok
+	if n, tell := f.balancer.Started(now, q, c); tell {
+		f.deps.Tell(n)
+	}
+	return c, true
+}
+
+// OnNotice takes in another node's notice.
+func (f *Front) OnNotice(n sched.Notice) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.OnNotice(time.Now(), n)
+}
+
+// firstToken learns from the time to a first token.
+func (f *Front) firstToken(c sched.Choice, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.FirstToken(c, took)
 }
 
 func (f *Front) ended(id string, o sched.Outcome) {
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -69,9 +69,14 @@
 
 func (s *relay) copy(a *conns.Answer) error {
 	buf := make([]byte, relayBuffer)
+	begun := false
 	for {
 		n, err := a.Body.Read(buf)
 		if n > 0 {
+			if !begun {
+				begun = true
+				s.c.f.firstToken(s.c.choice, time.Since(s.c.sent))
+			}
 			s.held = append(s.held, buf[:n]...)
 			if err := s.passWhole(a); err != nil {
 				return err
--- a/io/front/trail.go
+++ b/io/front/trail.go
@@ -25,7 +25,7 @@
 func (t try) MarshalLogObject(e zapcore.ObjectEncoder) error {
 	e.AddString("upstream", t.upstream)
 	e.AddString("addr", t.addr)
-	t.choice.Log(e.AddInt, e.AddDuration)
+	t.choice.Log(e.AddInt, e.AddDuration, e.AddFloat64)
 	e.AddString("outcome", t.outcome.String())
 	e.AddInt("status", t.status)
 	e.AddDuration("at", t.at.Round(time.Millisecond))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -70,6 +70,7 @@
 	conns   *conns.Pool
 	client  *ctrl.Client
 	budgets *budgets
+	notices *notices
 	host    *hostRunner
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
@@ -94,10 +95,15 @@
 	}
 	id := fleet.NewNodeID(fleet.RoleEntry, deps.Rand)
 	n.budgets = newBudgets(n, id)
+	var err error
+	if n.notices, err = newNotices(n); err != nil {
+		cancel()
+		return nil, err
+	}
 	n.front = front.Start(front.Deps{
 		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
 		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
-		LeaveNotice: deps.LeaveNotice,
+		LeaveNotice: deps.LeaveNotice, Tell: n.notices.tell,
 	})
 	if err := n.startMesh(id); err != nil {
 		cancel()
@@ -113,6 +119,8 @@
 	n.wg.Go(func() { n.followFleet(ctx) })
 	n.wg.Go(func() { n.budgets.run(ctx) })
 	n.wg.Go(func() { n.host.run(ctx) })
+	n.wg.Go(func() { n.notices.send(ctx) })
+	n.wg.Go(n.notices.receive)
 	n.serve(deps.API, deps.Interface.API)
 	n.serve(deps.Ready, deps.Interface.Ready)
 	return n, nil
@@ -168,6 +176,7 @@
 	alive := n.mesh.Alive()
 	n.front.SetEntries(len(alive))
 	n.budgets.setWitnesses(alive)
+	n.notices.setPeers(alive)
 	var control []netip.AddrPort
 	for _, p := range alive {
 		if p.Disk {
@@ -224,6 +233,7 @@
 		_ = s.Close()
 	}
 	n.cancel()
+	_ = n.notices.conn.Close()
 	n.wg.Wait()
 	_ = n.mesh.Close()
 	_ = n.conns.Close()
--- /dev/null
+++ b/io/node/notices.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/sched"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+)
+
+// maxDatagram is the longest notice, in bytes.
+const maxDatagram = 1400
+
+// noticeQueue bounds the notices that wait to be sent.
+const noticeQueue = 256
+
+// notices carries the front's notices to the other nodes as datagrams. They are
+// hints: one that is lost, or that does not fit the queue, costs accuracy only.
+type notices struct {
+	n     *Node
+	conn  *net.UDPConn
+	queue chan sched.Notice
+	peers atomic.Pointer[[]netip.AddrPort]
+}
+
+func newNotices(n *Node) (*notices, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.self))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &notices{n: n, conn: conn, queue: make(chan sched.Notice, noticeQueue)}, nil
+}
+
+// tell queues a notice, or drops it.
+func (c *notices) tell(n sched.Notice) {
+	select {
+	case c.queue <- n:
+	default:
+	}
+}
+
+func (c *notices) setPeers(alive []fleet.Peer) {
+	var peers []netip.AddrPort
+	for _, p := range alive {
+		if p.Addr != c.n.self {
+			peers = append(peers, p.Addr)
+		}
+	}
+	c.peers.Store(&peers)
+}
+
+// send sends notices until ctx ends.
+func (c *notices) send(ctx context.Context) {
+	var buf []byte
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-c.queue:
+			buf = n.Append(buf[:0])
+		}
+		peers := c.peers.Load()
+		if peers == nil || len(buf) > maxDatagram {
+			continue
+		}
+		for _, p := range *peers {
+			// A hint that can't be sent is not worth a word.
+			_, _ = c.conn.WriteToUDPAddrPort(buf, p)
+		}
+	}
+}
+
+// receive takes in notices until the socket is closed.
+func (c *notices) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		size, _, err := c.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		notice, ok := sched.ParseNotice(buf[:size])
+		if !ok {
+			c.n.log.Warn("node: a notice is damaged", zap.Int("bytes", size))
+			continue
+		}
+		c.n.front.OnNotice(notice)
+	}
+}
