Open marks evenly while no answer comes, and bill by the time that passed

Change: of a mark, 250 ms of demand may be spent at once and the rest opens over the cut-off; a dead holder is billed by the time that can have passed.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -46,7 +46,9 @@
 	unbounded bool
 	granted   Tokens
 	// mark is what the ledger confirmed, or less where a lower one was stated.
-	mark     Tokens
+	mark Tokens
+	// start is the part of mark that may be spent at once.
+	start    Tokens
 	spent    Tokens
 	reserved Tokens
 	// waiting holds the worst cases of requests that wait for an answer.
@@ -121,11 +123,12 @@
 }
 
 // limit is what a purse may spend in all.
-func (h *Holder) limit(p *purse) Tokens {
+func (h *Holder) limit(now time.Time, p *purse) Tokens {
 	if h.entered {
 		return p.granted
 	}
-	return p.mark
+	share := float64(now.Sub(h.answeredAt)) / float64(h.opts.CutOff)
+	return opened(p.start, p.mark, share)
 }
 
 // Reserve takes the worst case of a request out of the customer's allowance, or
@@ -144,14 +147,14 @@
 		return nil
 	}
 	p.noteSize(now, worst, h.opts.LargestLife)
-	if p.spent+p.reserved+worst > h.limit(p) {
+	if p.spent+p.reserved+worst > h.limit(now, p) {
 		p.waiting[id] = worst
 		return h.refuse(now, customer, p, worst)
 	}
 	delete(p.waiting, id)
 	p.reserved += worst
 	h.requests[id] = reservation{customer: customer, worst: worst}
-	if p.mark-p.spent-p.reserved < h.ahead(now, p)/2 {
+	if p.start-p.spent-p.reserved < h.ahead(now, p, h.opts.Start)/2 {
 		h.short = true
 	}
 	return nil
@@ -207,10 +210,9 @@
 	p.rate.Add(now, float64(used))
 }
 
-// ahead is how far the mark should be above what is in use: enough for the time
-// until the reserve may be used, with some to spare.
-func (h *Holder) ahead(now time.Time, p *purse) Tokens {
-	return Tokens(math.Ceil(p.rate.PerSecond(now) * h.opts.Ahead.Seconds()))
+// ahead is the demand of a span.
+func (h *Holder) ahead(now time.Time, p *purse, span time.Duration) Tokens {
+	return Tokens(math.Ceil(p.rate.PerSecond(now) * span.Seconds()))
 }
 
 // Short tells whether a statement should be sent as soon as may be.
@@ -273,11 +275,13 @@
 		p.granted = min(p.granted, u.Limit)
 	}
 	p.recall = false
-	u.Mark = used + h.ahead(now, p) + u.Need
+	u.Mark = used + u.Need + h.ahead(now, p, h.opts.Ahead)
+	u.Start = used + u.Need + h.ahead(now, p, h.opts.Start)
 	if h.left {
-		u.Mark = used
+		u.Mark, u.Start = used, used
 	}
 	p.mark = min(p.mark, u.Mark, p.granted)
+	p.start = min(p.start, u.Start, p.mark)
 	return u
 }
 
@@ -299,7 +303,8 @@
 		}
 		p.known = true
 		p.unbounded = a.Unbounded
-		p.granted, p.mark, p.recall, p.keep, p.unspent = a.Granted, a.Mark, a.Recall, a.Keep, a.Unspent
+		p.granted, p.mark, p.start = a.Granted, a.Mark, a.Start
+		p.recall, p.keep, p.unspent = a.Recall, a.Keep, a.Unspent
 	}
 }
 
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -53,6 +54,26 @@
 	// Used is what was spent, with what requests in progress may still spend.
 	Used    Tokens `cbor:"5,keyasint"`
 	Largest Tokens `cbor:"6,keyasint"`
+	// Start is the part of Mark that may be spent at once. BeforeStart and
+	// BeforeMark are those of the statement before: the holder goes by them while
+	// it has no answer to the latest.
+	Start       Tokens `cbor:"7,keyasint"`
+	BeforeStart Tokens `cbor:"8,keyasint"`
+	BeforeMark  Tokens `cbor:"9,keyasint"`
+}
+
+// opened is the most that the holder can have spent when this share of CutOff had
+// passed since its last answer.
+func (r *Row) opened(share float64) Tokens {
+	return max(opened(r.Start, r.Mark, share), opened(r.BeforeStart, r.BeforeMark, share))
+}
+
+// opened is what may be spent of a mark after a share of CutOff without an answer.
+func opened(start, mark Tokens, share float64) Tokens {
+	if share >= 1 {
+		return mark
+	}
+	return min(start+Tokens(math.Ceil(share*float64(mark-start))), mark)
 }
 
 // Life is what the ledger knows of one life of an entry.
@@ -178,7 +199,7 @@
 		out = append(out, l.allow(now.At, s.Holder, u, fresh))
 	}
 	if s.Left && fresh {
-		l.end(s.Holder, false)
+		l.end(s.Holder, false, 1)
 		return out
 	}
 	return append(out, l.recalls(now.At, s)...)
@@ -196,7 +217,7 @@
 			continue
 		}
 		out = append(out, Allowance{
-			Customer: c, Granted: r.Granted, Mark: r.Mark, Recall: true, Keep: r.Used, Unspent: a.unused(),
+			Customer: c, Granted: r.Granted, Mark: r.Mark, Start: r.Start, Recall: true, Keep: r.Used, Unspent: a.unused(),
 		})
 	}
 	return out
@@ -209,12 +230,13 @@
 		if !ok {
 			return
 		}
-		l.end(id, !s.Prompt)
+		l.end(id, !s.Prompt, s.Opened)
 	}
 }
 
-// end bills an ended holder: what it had in reserve too, if it may have used it.
-func (l *Ledger) end(id fleet.NodeID, reserve bool) {
+// end bills an ended holder what it had opened of its marks, and what it had in
+// reserve too, if it may have used it.
+func (l *Ledger) end(id fleet.NodeID, reserve bool, share float64) {
 	l.Holders[id].Ended = true
 	for _, a := range l.Accounts {
 		r, ok := a.Rows[id]
@@ -226,7 +248,7 @@
 			a.Billed += r.Granted
 			continue
 		}
-		a.Billed += r.Mark
+		a.Billed += min(max(r.opened(share), r.Used), r.Granted)
 	}
 }
 
@@ -248,7 +270,9 @@
 	if u.GiveBack {
 		r.Granted = min(r.Granted, max(u.Limit, used))
 	}
+	r.BeforeStart, r.BeforeMark = r.Start, r.Mark
 	r.Mark = min(max(u.Mark, used), r.Granted)
+	r.Start = min(max(u.Start, used), r.Mark)
 }
 
 // allow answers for one customer, and raises the allowance towards its fair part.
@@ -267,9 +291,10 @@
 		more := min(max(fair, u.Need)-(r.Granted-r.Used), a.Paid-a.committed())
 		r.Granted += max(more, 0)
 		r.Mark = min(max(u.Mark, r.Mark, r.Used+u.Need), r.Granted)
+		r.Start = min(max(u.Start, r.Start, r.Used+u.Need), r.Mark)
 		a.noteShort(now, id, u.Need > r.Granted-r.Used)
 	}
-	out := Allowance{Customer: u.Customer, Granted: r.Granted, Mark: r.Mark, Unspent: unused}
+	out := Allowance{Customer: u.Customer, Granted: r.Granted, Mark: r.Mark, Start: r.Start, Unspent: unused}
 	wanted := a.wanted(now, id)
 	if wanted {
 		fair = 0
@@ -342,7 +367,7 @@
 // still live: then it learns of it from its next answer.
 func (l *Ledger) End(e Ending) {
 	if h, ok := l.Holders[e.Holder]; ok && !h.Ended && h.Seq == e.Seq {
-		l.end(e.Holder, false)
+		l.end(e.Holder, false, 1)
 	}
 }
 
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -7,9 +7,10 @@
 	// CutOff is the time without an answer after which a holder uses its
 	// reserve. All holders and the control group must use the same value.
 	CutOff time.Duration
-	// Ahead is the demand that a holder marks ahead of its use: what is burned
-	// when it dies against what it can serve before it may use its reserve.
-	Ahead time.Duration
+	// Start is the demand that a holder can spend ahead at once, Ahead what it can
+	// spend by the time that it may use its reserve: what is burned when it dies
+	// against what it can serve.
+	Start, Ahead time.Duration
 	// Interval is the time between two statements.
 	Interval time.Duration
 	// FullEvery is the time between two statements that name all customers; those
@@ -27,7 +28,8 @@
 func DefaultOptions() Options {
 	return Options{
 		CutOff:       2400 * time.Millisecond,
-		Ahead:        2500 * time.Millisecond,
+		Start:        250 * time.Millisecond,
+		Ahead:        2800 * time.Millisecond,
 		Interval:     150 * time.Millisecond,
 		FullEvery:    time.Second,
 		Urgent:       10 * time.Millisecond,
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -27,8 +27,10 @@
 	Age time.Duration `cbor:"7,keyasint"`
 	// Prompt is set by the control group's leader where the holder replaces one
 	// at its address that can't have used its reserve: it was started within
-	// CutOff of it, or the earlier one's witnesses say so.
-	Prompt bool `cbor:"8,keyasint,omitempty"`
+	// CutOff of it, or the earlier one's witnesses say so. Opened is then the share
+	// of CutOff that had passed, at most, when the earlier one ended.
+	Prompt bool    `cbor:"8,keyasint,omitempty"`
+	Opened float64 `cbor:"10,keyasint,omitempty"`
 	// Witnesses are the nodes of which half must know before the holder uses its
 	// reserve. Without any it needs nobody's word.
 	Witnesses []fleet.NodeID `cbor:"9,keyasint,omitempty"`
@@ -41,8 +43,11 @@
 	// spend.
 	Spent    Tokens `cbor:"2,keyasint"`
 	Reserved Tokens `cbor:"3,keyasint"`
-	// Mark asks for this mark. Below the present one it gives back.
-	Mark Tokens `cbor:"4,keyasint"`
+	// Mark asks for this mark. Below the present one it gives back. Start is the
+	// part of it that may be spent at once; the rest opens evenly over CutOff while
+	// no answer comes.
+	Mark  Tokens `cbor:"4,keyasint"`
+	Start Tokens `cbor:"10,keyasint"`
 	// GiveBack is set where the holder gives back what its allowance has above
 	// Limit.
 	GiveBack bool   `cbor:"9,keyasint,omitempty"`
@@ -62,6 +67,7 @@
 	Unbounded bool
 	Granted   Tokens
 	Mark      Tokens
+	Start     Tokens
 	// Recall is set where the holder is asked to give back what it has above Keep.
 	Recall bool
 	Keep   Tokens
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -212,11 +212,10 @@
 
 // book applies a statement as a leader does, and sends the answer back.
 func (w *world) book(h *host, holder *quota.Holder, s quota.Statement, _ time.Time) {
-	prompt, decided := w.judge(s)
-	if !decided {
+	decided := false
+	if s.Prompt, s.Opened, decided = w.judge(s); !decided {
 		return
 	}
-	s.Prompt = prompt
 	answers := w.ledger.Apply(w.stamp(), s)
 	ended := w.ledger.Ended(s.Holder)
 	w.send(func() {
@@ -232,26 +231,32 @@
 	})
 }
 
-// judge decides whether a replaced holder can't have used its reserve.
-func (w *world) judge(s quota.Statement) (prompt, decided bool) {
+// judge decides whether a replaced holder can't have used its reserve, and how
+// much of its marks it can have opened.
+func (w *world) judge(s quota.Statement) (prompt bool, opened float64, decided bool) {
 	if _, known := w.ledger.Holders[s.Holder]; known {
-		return false, true
+		return false, 1, true
 	}
 	id, ok := w.ledger.EarlierAt(s.Addr, s.Holder)
 	if !ok {
-		return false, true
+		return false, 1, true
 	}
 	life := *w.ledger.Holders[id]
-	if !life.Sure.At.IsZero() && w.now.Sub(life.Sure.At)-s.Age < w.opts.CutOff {
-		return true, true
+	opened = 1
+	if !life.Sure.At.IsZero() {
+		gap := w.now.Sub(life.Sure.At) - s.Age
+		opened = min(float64(gap)/float64(w.opts.CutOff), 1)
+	}
+	if opened < 1 {
+		return true, opened, true
 	}
 	switch life.Judge(w.testimonies(life, id)) {
 	case quota.Cleared:
-		return true, true
+		return true, 1, true
 	case quota.Open:
-		return false, s.Age > 3*time.Second
+		return false, 1, s.Age > 3*time.Second
 	}
-	return false, true
+	return false, 1, true
 }
 
 // stepEndSilent ends a holder that has been silent, as a leader does: its
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -77,7 +77,7 @@
 	}
 	st := *args
 	var decided bool
-	if st.Prompt, decided = h.prompt(st, bootTime()); !decided {
+	if st.Prompt, st.Opened, decided = h.prompt(st, bootTime()); !decided {
 		reply.NotLeader = true
 		return nil
 	}
@@ -126,16 +126,17 @@
 // prompt tells whether the holder that a newcomer replaces can't have used its
 // reserve: the newcomer's process was started less than CutOff after the last
 // statement that the earlier holder had an answer to, or its witnesses say so. It
-// is not decided while those who may know more can't be reached. The statement
-// came at the boot time arrived.
-func (h *Host) prompt(st quota.Statement, arrived time.Duration) (prompt, decided bool) {
+// is not decided while those who may know more can't be reached. opened is the
+// share of CutOff that had passed, at most, when the earlier holder ended. The
+// statement came at the boot time arrived.
+func (h *Host) prompt(st quota.Statement, arrived time.Duration) (prompt bool, opened float64, decided bool) {
 	r, ok := h.replaces(st)
 	if !ok {
-		return false, true
+		return false, 1, true
 	}
 	if !r.leading {
 		// This host may lead by the time that the statement is booked.
-		return false, false
+		return false, 1, false
 	}
 	gap, known := h.gap(r)
 	gap -= st.Age + bootTime() - arrived
@@ -147,12 +148,16 @@
 	}
 	open := verdict == quota.Open || (verdict == quota.Used && !known)
 	if open && st.Age < decideWithin {
-		return false, false
+		return false, 1, false
+	}
+	opened = 1
+	if known {
+		opened = min(max(float64(gap)/float64(h.deps.CutOff), 0), 1)
 	}
 	h.log.Info("control: a holder of budgets is replaced", zap.String("holder", string(r.id)),
 		zap.String("by", string(st.Holder)), zap.Stringer("addr", st.Addr), zap.Bool("gap_known", known),
 		zap.Duration("gap", gap), zap.Any("testimonies", words), zap.Bool("reserve_kept", verdict == quota.Cleared))
-	return verdict == quota.Cleared, true
+	return verdict == quota.Cleared, opened, true
 }
 
 // gap is the time since the holder's last answered statement.
