Keep times in the log to the nanosecond

Cause: the CBOR library writes times in whole seconds by default, so gaps between moments of the log were off by up to a second either way: too much was billed (gaps of 1.46 s for 0.6 s), and too little could have been.

--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -27,9 +27,9 @@
 // DefaultOptions returns the options that nodes run with.
 func DefaultOptions() Options {
 	return Options{
-		CutOff:       2400 * time.Millisecond,
+		CutOff:       2000 * time.Millisecond,
 		Start:        250 * time.Millisecond,
-		Ahead:        2800 * time.Millisecond,
+		Ahead:        2300 * time.Millisecond,
 		Interval:     150 * time.Millisecond,
 		FullEvery:    time.Second,
 		Urgent:       10 * time.Millisecond,
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -6,11 +6,10 @@
 	"strings"
 	"time"
 
+	"dotterelgap/core/codec"
 	"dotterelgap/core/config"
 	"dotterelgap/core/ledger"
 	"dotterelgap/core/quota"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // Machine is the replicated state. Its fields are exported for snapshots only.
@@ -174,13 +173,13 @@
 	for _, r := range m.Claims {
 		m.ClaimList = append(m.ClaimList, r)
 	}
-	return cbor.Marshal(m)
+	return codec.Marshal(m)
 }
 
 // Restore replaces the state by a snapshot's.
 func (m *Machine) Restore(data []byte) error {
 	next := New()
-	if err := cbor.Unmarshal(data, next); err != nil {
+	if err := codec.Unmarshal(data, next); err != nil {
 		return fmt.Errorf("decoding a snapshot: %w", err)
 	}
 	next.Ledger.Restore()
@@ -199,13 +198,13 @@
 
 // Encode returns a command's form in the log.
 func Encode(c Command) ([]byte, error) {
-	return cbor.Marshal(c)
+	return codec.Marshal(c)
 }
 
 // Decode reads a command from the log.
 func Decode(data []byte) (Command, error) {
 	var c Command
-	err := cbor.Unmarshal(data, &c)
+	err := codec.Unmarshal(data, &c)
 	return c, err
 }
 
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -156,7 +156,8 @@
 	}
 	h.log.Info("control: a holder of budgets is replaced", zap.String("holder", string(r.id)),
 		zap.String("by", string(st.Holder)), zap.Stringer("addr", st.Addr), zap.Bool("gap_known", known),
-		zap.Duration("gap", gap), zap.Any("testimonies", words), zap.Bool("reserve_kept", verdict == quota.Cleared))
+		zap.Duration("gap", gap), zap.Duration("age", st.Age), zap.Duration("unsure", r.life.Last.At.Sub(r.life.Sure.At)),
+		zap.Duration("queued", bootTime()-arrived), zap.Any("testimonies", words), zap.Bool("reserve_kept", verdict == quota.Cleared))
 	return verdict == quota.Cleared, opened, true
 }
 
--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -6,9 +6,8 @@
 	"io"
 	"time"
 
+	"dotterelgap/core/codec"
 	"dotterelgap/core/raft"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // headerSize is the size of a record's length and checksum, in bytes.
@@ -68,7 +67,7 @@
 			return at, nil
 		}
 		var r record
-		if err := cbor.Unmarshal(payload, &r); err != nil {
+		if err := codec.Unmarshal(payload, &r); err != nil {
 			return at, err
 		}
 		if err := each(r); err != nil {
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -6,9 +6,9 @@
 	"path/filepath"
 	"time"
 
+	"dotterelgap/core/codec"
 	"dotterelgap/core/raft"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 )
 
@@ -90,7 +90,7 @@
 	if !ok {
 		return &DamageError{File: s.path(name), Message: "its checksum is wrong"}
 	}
-	if err := cbor.Unmarshal(payload, dst); err != nil {
+	if err := codec.Unmarshal(payload, dst); err != nil {
 		return &DamageError{File: s.path(name), Message: err.Error()}
 	}
 	return nil
@@ -153,7 +153,7 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	payload, err := cbor.Marshal(record{State: state, Entries: entries, At: time.Now()})
+	payload, err := codec.Marshal(record{State: state, Entries: entries, At: time.Now()})
 	if err != nil {
 		return s.fail(err)
 	}
@@ -173,7 +173,7 @@
 	if err := s.replace(snapshotFile, snap); err != nil {
 		return s.fail(err)
 	}
-	payload, err := cbor.Marshal(record{State: &state, Entries: tail})
+	payload, err := codec.Marshal(record{State: &state, Entries: tail})
 	if err != nil {
 		return s.fail(err)
 	}
@@ -199,7 +199,7 @@
 }
 
 func (s *Store) replace(name string, v any) error {
-	payload, err := cbor.Marshal(v)
+	payload, err := codec.Marshal(v)
 	if err != nil {
 		return trace.Wrap(err)
 	}
