Lend tokens between nodes that are cut off together; join again when taken out

Change: nodes borrow from nodes on the same side; what is lent is spent at the lender at once. A host that hears no leader asks to be taken in again, and names no leader that it does not hear. Demand is remembered for 8 s, and stocked for 40 s.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -38,6 +38,8 @@
 type reservation struct {
 	customer string
 	worst    Tokens
+	// loan is set where the tokens were borrowed.
+	loan bool
 }
 
 // purse is a holder's allowance of one customer.
@@ -51,6 +53,8 @@
 	start    Tokens
 	spent    Tokens
 	reserved Tokens
+	// loans is what was borrowed and is not reserved.
+	loans Tokens
 	// waiting holds the worst cases of requests that wait for an answer.
 	waiting map[string]Tokens
 	// recall is set where the ledger wants back what is above keep.
@@ -147,6 +151,12 @@
 		return nil
 	}
 	p.noteSize(now, worst, h.opts.LargestLife)
+	if p.loans >= worst {
+		delete(p.waiting, id)
+		p.loans -= worst
+		h.requests[id] = reservation{customer: customer, worst: worst, loan: true}
+		return nil
+	}
 	if p.spent+p.reserved+worst > h.limit(now, p) {
 		p.waiting[id] = worst
 		return h.refuse(now, customer, p, worst)
@@ -205,9 +215,14 @@
 	}
 	delete(h.requests, id)
 	p := h.purses[r.customer]
-	p.reserved -= r.worst
-	p.spent += min(max(used, 0), r.worst)
+	used = min(max(used, 0), r.worst)
 	p.rate.Add(now, float64(used))
+	if r.loan {
+		p.loans += r.worst - used
+		return
+	}
+	p.reserved -= r.worst
+	p.spent += used
 }
 
 // ahead is the demand of a span.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -16,10 +16,10 @@
 	// serves holders whose demand grows.
 	grantedShare = 0.9
 	// idleShare is the part of an even share that a holder without demand gets.
-	idleShare = 0.08
+	idleShare = 0.15
 	// horizon is the demand that a holder is stocked for, in seconds: what it may
 	// burn when it dies against how long it can serve without control.
-	horizon = 20
+	horizon = 40
 	// recallAbove is how far above its fair part a holder is asked to give back.
 	recallAbove = 1.3
 	// tightRequests is the number of the largest requests per holder below which
--- /dev/null
+++ b/core/quota/loan.go
@@ -0,0 +1,47 @@
+package quota
+
+import "time"
+
+// Loans let nodes that are parted from control together use each other's
+// allowances. What is lent counts as spent at the lender at once; the borrower
+// may use it at any time and states nothing of it. So a loan whose answer is lost
+// is billed for nothing, and never twice.
+
+// lendShare is the part of what a lender has left that it lends at a time.
+const lendShare = 0.5
+
+// LoanRequest asks another node for tokens of a customer.
+type LoanRequest struct {
+	Customer string
+	// Want is what would be welcome; less is of use too.
+	Want Tokens
+}
+
+// Lend returns the tokens that are lent.
+func (h *Holder) Lend(now time.Time, r LoanRequest) Tokens {
+	p, ok := h.purses[r.Customer]
+	if !ok || !p.known || p.unbounded || h.left || len(p.waiting) > 0 {
+		return 0
+	}
+	left := h.limit(now, p) - p.spent - p.reserved
+	amount := max(min(r.Want, Tokens(lendShare*float64(left))), 0)
+	p.spent += amount
+	return amount
+}
+
+// Borrowed takes in a loan.
+func (h *Holder) Borrowed(customer string, amount Tokens) {
+	if p, ok := h.purses[customer]; ok {
+		p.loans += amount
+	}
+}
+
+// LoanWanted is what the holder asks others for on behalf of a request. It wants
+// nothing once it has borrowed enough.
+func (h *Holder) LoanWanted(customer string, worst Tokens) (r LoanRequest, wanted bool) {
+	p, ok := h.purses[customer]
+	if !ok || p.loans >= worst {
+		return LoanRequest{}, false
+	}
+	return LoanRequest{Customer: customer, Want: max(worst, p.need(), 2*p.largest) - p.loans}, true
+}
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -33,7 +33,7 @@
 		Interval:     150 * time.Millisecond,
 		FullEvery:    time.Second,
 		Urgent:       10 * time.Millisecond,
-		RateHalfLife: 3 * time.Second,
+		RateHalfLife: 8 * time.Second,
 		LargestLife:  10 * time.Second,
 	}
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -215,6 +215,30 @@
 	is.True(p.holder.Reserve(p.now, "r3", "acme", 200) != nil)
 }
 
+// A loan is spent at the lender at once, and used by the borrower without control.
+func TestLoan(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.exchange()
+	_ = p.holder.Reserve(p.now, "r0", "acme", 4_000)
+	p.exchange()
+	p.holder.GiveUp("r0", "acme")
+	other := quota.NewHolder("entry-2", addrB, quota.DefaultOptions(), p.now)
+	other.SetCustomers(p.now, []string{"acme"})
+	s := other.Statement(p.now)
+	other.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+	is.True(other.Reserve(p.now, "r1", "acme", 900) != nil)
+	r, wanted := other.LoanWanted("acme", 900)
+	is.True(wanted)
+	n := p.holder.Lend(p.now, r)
+	is.Equal(n, quota.Tokens(1_800)) // two of the largest request
+	other.Borrowed("acme", n)
+	is.NoErr(other.Reserve(p.now, "r1", "acme", 900))
+	other.Settle(p.now, "r1", 100)
+	is.NoErr(other.Reserve(p.now, "r2", "acme", 1_700))
+	is.Equal(p.holder.Lend(p.now, quota.LoanRequest{Customer: "acme", Want: 5_000}), quota.Tokens(1_100)) // half of what is left
+}
+
 // What the witnesses say of an ended holder. Two of three must know before a
 // reserve is used, so two that have not seen it clear the holder.
 func TestJudge(t *testing.T) {
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -332,6 +332,28 @@
 	}
 }
 
+// stepBorrow lends tokens of one node to another one; the answer may be lost.
+func (w *world) stepBorrow(t *rapid.T) {
+	from, to := w.pick(t, "lender"), w.pick(t, "borrower")
+	if from == to || !from.alive || !to.alive || from.lonely || to.lonely {
+		return
+	}
+	c := rapid.SampledFrom(customers).Draw(t, "customer")
+	r, wanted := to.holder.LoanWanted(c, quota.Tokens(rapid.SampledFrom([]int{90, 700}).Draw(t, "need")))
+	if !wanted {
+		return
+	}
+	n := from.holder.Lend(w.now, r)
+	holder := to.holder
+	arrived := false
+	w.send(func() {
+		if to.alive && to.holder == holder && !arrived {
+			arrived = true
+			holder.Borrowed(c, n)
+		}
+	})
+}
+
 func (w *world) byID(id fleet.NodeID) *host {
 	for _, h := range w.hosts {
 		if h.alive && h.id == id {
--- a/io/ctrl/ask.go
+++ b/io/ctrl/ask.go
@@ -13,19 +13,36 @@
 // askTimeout bounds one request to a control host.
 const askTimeout = 3 * time.Second
 
-// hint says whether this host leads, and who does. Loop only.
+// hint says whether this host leads, and who does. A leader that was not heard
+// lately is not named: it may be gone, and this host out of the group. Loop only.
 func (h *Host) hint() wire.Hint {
 	s := h.machine.Status()
 	if s.Role == raft.Leader {
 		return wire.Hint{}
 	}
 	hint := wire.Hint{NotLeader: true}
-	if m, ok := s.Members.Find(s.Leader); ok {
+	if m, ok := s.Members.Find(s.Leader); ok && h.hears(s) {
 		hint.Leader = m.Addr
 	}
 	return hint
 }
 
+// hears tells whether a leader was heard within an election time.
+func (h *Host) hears(s raft.Status) bool {
+	return s.Leader != 0 && time.Since(s.Heard) < 2*raft.DefaultElection
+}
+
+// Follows tells whether this host leads or hears a leader. One that does not may
+// have been taken out of the group.
+func (h *Host) Follows() bool {
+	follows := false
+	h.view(func(time.Time) {
+		s := h.machine.Status()
+		follows = s.Role == raft.Leader || h.hears(s)
+	})
+	return follows
+}
+
 // propose appends a command at the leader; done, if not nil, gets its outcome.
 // Loop only.
 func (h *Host) propose(now time.Time, c state.Command, done chan outcome) {
--- a/io/ctrl/folder.go
+++ b/io/ctrl/folder.go
@@ -21,6 +21,8 @@
 const (
 	joinTimeout = 2 * time.Second
 	joinPause   = 200 * time.Millisecond
+	// rejoinPause is the time between two looks at whether a leader is heard.
+	rejoinPause = time.Second
 )
 
 // Folder is an open data folder.
@@ -93,14 +95,30 @@
 
 // Join asks the group to take this host in, until it is a member.
 func Join(ctx context.Context, log *zap.Logger, client *Client, self raft.Member) {
+	for ctx.Err() == nil && !tryJoin(ctx, log, client, self) {
+		pause(ctx, joinPause)
+	}
+}
+
+func tryJoin(ctx context.Context, log *zap.Logger, client *Client, self raft.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	reply, err := Call[wire.JoinReply](ctx, client, "Control.Join", &wire.JoinArgs{Member: self})
+	if err != nil || !reply.Member {
+		return false
+	}
+	log.Info("control: this host is a member", zap.Bool("voter", reply.Voter))
+	return true
+}
+
+// StayJoined asks to be taken in again whenever this host hears no leader, until
+// ctx ends: the group may have taken it out while it was parted from it.
+func (h *Host) StayJoined(ctx context.Context, client *Client) {
+	self := raft.Member{ID: h.deps.Identity.Member, Addr: h.deps.Addr}
 	for ctx.Err() == nil {
-		try, cancel := context.WithTimeout(ctx, joinTimeout)
-		reply, err := Call[wire.JoinReply](try, client, "Control.Join", &wire.JoinArgs{Member: self})
-		cancel()
-		if err == nil && reply.Member {
-			log.Info("control: this host is a member now", zap.Bool("voter", reply.Voter))
-			return
+		pause(ctx, rejoinPause)
+		if !h.Follows() {
+			tryJoin(ctx, h.log, client, self)
 		}
-		pause(ctx, joinPause)
 	}
 }
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -23,7 +24,10 @@
 	// while the control group answers.
 	reserveWait = 250 * time.Millisecond
 	// answerAge is the age of the latest answer from which on no other is expected.
-	answerAge = time.Second
+	answerAge = 500 * time.Millisecond
+	// loanTimeout bounds asking one node for a loan, loanTries how many are asked.
+	loanTimeout = 50 * time.Millisecond
+	loanTries   = 6
 	// entryTimeout and entryPause bound asking the witnesses.
 	entryTimeout = 300 * time.Millisecond
 	entryPause   = 100 * time.Millisecond
@@ -63,7 +67,13 @@
 	for answers := 0; ; answers++ {
 		next, err := b.tryReserve(id, customer, worst)
 		var refused *quota.RefusedError
-		if !errors.As(err, &refused) || refused.Age > answerAge {
+		if !errors.As(err, &refused) {
+			return err
+		}
+		if refused.Age > answerAge {
+			if refused.Reason != quota.Unknown && b.borrow(ctx, customer, worst) {
+				_, err = b.tryReserve(id, customer, worst)
+			}
 			return err
 		}
 		if refused.Reason == quota.Exhausted && answers >= 2 {
@@ -91,6 +101,48 @@
 	return b.answered, err
 }
 
+// borrow asks other nodes for tokens while control does not answer, and tells
+// whether it has enough for a request.
+func (b *budgets) borrow(ctx context.Context, customer string, worst quota.Tokens) bool {
+	for _, addr := range b.n.lenders(loanTries) {
+		b.mu.Lock()
+		r, wanted := b.holder.LoanWanted(customer, worst)
+		b.mu.Unlock()
+		if !wanted {
+			return true
+		}
+		b.ask(ctx, addr, r)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, wanted := b.holder.LoanWanted(customer, worst)
+	return !wanted
+}
+
+// ask asks one node for a loan.
+func (b *budgets) ask(ctx context.Context, addr netip.AddrPort, r quota.LoanRequest) {
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
+	var amount quota.Tokens
+	if err := b.n.deps.Pool.Call(ctx, addr, "Node.Lend", &r, &amount); err != nil || amount == 0 {
+		return
+	}
+	b.mu.Lock()
+	b.holder.Borrowed(r.Customer, amount)
+	b.mu.Unlock()
+	b.n.log.Info("node: tokens were borrowed", zap.String("customer", r.Customer), zap.Int64("tokens", int64(amount)),
+		zap.Stringer("from", addr))
+}
+
+// Lend lends tokens to another node.
+func (s *Service) Lend(args *quota.LoanRequest, amount *quota.Tokens) error {
+	b := s.n.budgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	*amount = b.holder.Lend(time.Now(), *args)
+	return nil
+}
+
 func (b *budgets) giveUp(id, customer string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/io/node/host.go
+++ b/io/node/host.go
@@ -74,11 +74,12 @@
 	}()
 	joining, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !f.Member() {
-		r.n.wg.Go(func() {
+	r.n.wg.Go(func() {
+		if !f.Member() {
 			ctrl.Join(joining, r.n.log, r.n.client, raft.Member{ID: f.Identity.Member, Addr: r.n.self})
-		})
-	}
+		}
+		h.StayJoined(joining, r.n.client)
+	})
 	select {
 	case <-ctx.Done():
 		return nil
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -197,6 +197,25 @@
 	return netip.AddrPort{}
 }
 
+// lenders picks nodes to borrow from, in an order drawn anew each time: those
+// that are no control hosts first, since what parts this node from control parts
+// it from the others.
+func (n *Node) lenders(most int) []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for _, p := range n.mesh.Alive() {
+		switch {
+		case p.Addr == n.self || p.Draining:
+		case p.Disk:
+			far = append(far, p.Addr)
+		default:
+			near = append(near, p.Addr)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	out := append(near, far...)
+	return out[:min(most, len(out))]
+}
+
 // Ready tells whether callers can be served.
 func (n *Node) Ready() bool {
 	return n.front.Ready() && n.confirmed.Load()
