--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -75,6 +76,9 @@
 	byHash   map[uint64]*target
 	services map[string][]*target
 	turn     uint64
+	// candidates and homes are scratch space of a decision.
+	candidates []candidate
+	homes      []home
 }
 
 // New returns a balancer without upstreams for a node in a place.
@@ -110,92 +114,126 @@
 // Ready counts the upstreams of a service that take work.
 func (b *Balancer) Ready(service string) int { return len(b.services[service]) }
 
-// Pick chooses an upstream.
+// Pick chooses an upstream. Those that are left out are taken only if there is no
+// other.
 func (b *Balancer) Pick(now time.Time, q Query) (Choice, bool) {
-	all := b.usable(now, q)
-	if len(all) == 0 {
-		return Choice{}, false
+	list := b.services[q.Service]
+	for _, leftOut := range []bool{false, true} {
+		if c, ok := b.pickFrom(now, q, list, leftOut); ok {
+			return c, true
+		}
 	}
+	return Choice{}, false
+}
+
+func (b *Balancer) pickFrom(now time.Time, q Query, list []*target, leftOut bool) (Choice, bool) {
 	key, sticky := q.affinity()
+	b.candidates = b.candidates[:0]
+	b.homes = b.homes[:0]
+	ranks := b.opts.HomeRanks
+	if len(list) > considerAll {
+		ranks = considerHomes
+	}
+	for _, t := range list {
+		if now.Before(t.outUntil) != leftOut || slices.Contains(q.Exclude, t.up.ID) {
+			continue
+		}
+		b.candidates = append(b.candidates, candidate{t: t, rank: ranks})
+		if sticky {
+			b.rank(home{t, mix(key ^ t.hash)}, ranks)
+		}
+	}
+	if len(b.candidates) == 0 {
+		return Choice{}, false
+	}
 	if !sticky {
-		t := b.leastLoaded(all)
-		return Choice{Upstream: t.up, InFlight: t.inFlight, Usable: len(all), Rank: -1, Slow: t.slow}, true
+		t := b.leastLoaded()
+		return Choice{Upstream: t.up, InFlight: t.inFlight, Usable: len(b.candidates), Rank: -1, Slow: t.slow}, true
+	}
+	usable := len(b.candidates)
+	b.takeHomes(len(list) > considerAll)
+	c := b.soonest(now, q)
+	c.Usable = usable
+	return c, true
+}
+
+// Bounds on the upstreams that one decision looks at.
+const (
+	// considerAll is the size of a service up to which all upstreams are.
+	considerAll = 64
+	// considerHomes is the number of a prompt's homes that are in a larger one.
+	considerHomes = 16
+)
+
+// candidate is an upstream that a request may go to.
+type candidate struct {
+	t        *target
+	rank     int
+	uncached int
+}
+
+// home is an upstream with its weight in a key's rendezvous order.
+type home struct {
+	t      *target
+	weight uint64
+}
+
+// rank keeps the n homes with the highest weights, in their order.
+func (b *Balancer) rank(h home, n int) {
+	at := len(b.homes)
+	for at > 0 && b.homes[at-1].weight < h.weight {
+		at--
+	}
+	if at >= n {
+		return
 	}
-	return b.soonest(now, q, key, all), true
+	if len(b.homes) == n {
+		b.homes = b.homes[:n-1]
+	}
+	b.homes = slices.Insert(b.homes, at, h)
 }
 
-// usable lists the upstreams that may be tried: those that are left out only if
-// there is no other.
-func (b *Balancer) usable(now time.Time, q Query) []*target {
-	var in, out []*target
-	for _, t := range b.services[q.Service] {
-		switch {
-		case slices.Contains(q.Exclude, t.up.ID):
-		case now.Before(t.outUntil):
-			out = append(out, t)
-		default:
-			in = append(in, t)
+// takeHomes gives the candidates their ranks. In a large service the homes are the
+// only candidates.
+func (b *Balancer) takeHomes(only bool) {
+	if only {
+		b.candidates = b.candidates[:0]
+		for i, h := range b.homes {
+			b.candidates = append(b.candidates, candidate{t: h.t, rank: min(i, b.opts.HomeRanks)})
 		}
+		return
 	}
-	if len(in) == 0 {
-		return out
+	for i := range b.candidates {
+		for rank, h := range b.homes {
+			if h.t == b.candidates[i].t {
+				b.candidates[i].rank = rank
+			}
+		}
 	}
-	return in
 }
 
 // soonest takes the engine with the earliest believed first token. The homes of a
 // prompt, the same for all nodes, go first where there is little between them, so
 // that a new session comes to one engine whichever nodes it meets.
-func (b *Balancer) soonest(now time.Time, q Query, key uint64, all []*target) Choice {
-	homes := homesOf(key, all, b.opts.HomeRanks)
+func (b *Balancer) soonest(now time.Time, q Query) Choice {
 	least := q.Input
-	for _, t := range all {
-		least = min(least, max(q.Input-t.cache.prefix(q.Parts), 0))
+	for i := range b.candidates {
+		c := &b.candidates[i]
+		c.uncached = max(q.Input-c.t.cache.prefix(q.Parts), 0)
+		least = min(least, c.uncached)
 	}
-	var best Choice
-	var bestCost time.Duration
-	for _, t := range all {
-		rank := slices.Index(homes, t)
-		if rank < 0 {
-			rank = b.opts.HomeRanks
-		}
-		uncached := max(q.Input-t.cache.prefix(q.Parts), 0)
-		wait := t.wait(now)
-		again := time.Duration(b.opts.RereadCost * float64(t.reading(uncached-least)))
-		cost := wait + t.reading(uncached) + again + time.Duration(rank)*b.opts.HomeBonus
-		if best.Usable == 0 || cost < bestCost {
-			bestCost = cost
-			best = Choice{
-				Upstream: t.up, InFlight: t.inFlight, Usable: len(all), Rank: rank,
-				Uncached: uncached, Wait: wait, Slow: t.slow,
-			}
+	best, bestCost := 0, time.Duration(math.MaxInt64)
+	for i, c := range b.candidates {
+		again := time.Duration(b.opts.RereadCost * float64(c.t.reading(c.uncached-least)))
+		cost := c.t.wait(now) + c.t.reading(c.uncached) + again + time.Duration(c.rank)*b.opts.HomeBonus
+		if cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
-	return best
-}
-
-// homesOf lists the first upstreams in the key's rendezvous order.
-func homesOf(key uint64, all []*target, n int) []*target {
-	homes := make([]*target, 0, n)
-	weights := make([]uint64, 0, n)
-	for _, t := range all {
-		w := mix(key ^ t.hash)
-		at, _ := slices.BinarySearchFunc(weights, w, func(have, want uint64) int {
-			if have > want {
-				return -1
-			}
-			return 1
-		})
-		if at >= n {
-			continue
-		}
-		if len(homes) == n {
-			homes, weights = homes[:n-1], weights[:n-1]
-		}
-		homes = slices.Insert(homes, at, t)
-		weights = slices.Insert(weights, at, w)
+	c := b.candidates[best]
+	return Choice{
+		Upstream: c.t.up, InFlight: c.t.inFlight, Rank: c.rank, Uncached: c.uncached, Wait: c.t.wait(now), Slow: c.t.slow,
 	}
-	return homes
 }
 
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
@@ -207,14 +245,14 @@
 	return x ^ x>>31
 }
 
-// leastLoaded takes the upstream with the fewest requests, of equal ones the
-// next in turn.
-func (b *Balancer) leastLoaded(all []*target) *target {
+// leastLoaded takes the candidate with the fewest requests, of equal ones the next
+// in turn.
+func (b *Balancer) leastLoaded() *target {
 	b.turn++
-	start := int(b.turn % uint64(len(all)))
-	best := all[start]
-	for i := range all {
-		if t := all[(start+i)%len(all)]; t.inFlight < best.inFlight {
+	start := int(b.turn % uint64(len(b.candidates)))
+	best := b.candidates[start].t
+	for i := range b.candidates {
+		if t := b.candidates[(start+i)%len(b.candidates)].t; t.inFlight < best.inFlight {
 			best = t
 		}
 	}
