Let the budgets' fuzz test lend tokens and end silent holders

Ruled out: leaving the steps out, which would leave loans and endings without the oracle. Change: both are actions now.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -37,11 +37,14 @@
 			"deliver": w.stepDeliver,
 			"flow":    w.stepFlow,
 			"lose":    w.stepLose,
+			"borrow":  w.stepBorrow,
+			"borrow2": w.stepBorrow,
 			"kill":    w.stepKill,
 			"start":   w.stepStart,
 			"cut":     w.stepCut,
 			"pay":     w.stepPay,
 			"lead":    w.stepLead,
+			"silent":  w.stepEndSilent,
 		})
 		w.heal(t)
 	})
