--- a/core/quota/errors.go
+++ b/core/quota/errors.go
@@ -31,8 +31,11 @@
 	Age     time.Duration
 	// RetryIn is when the reserve may be used, if no answer comes before.
 	RetryIn time.Duration
-	// CutOff is set where the reserve between Mark and Granted was in use.
+	// CutOff is set where all that was granted may be used, since no answer comes.
 	CutOff bool
+	// Raisable is set where the tokens are here and only a witness's record is
+	// missing.
+	Raisable bool
 }
 
 // Error implements error.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -28,11 +28,9 @@
 	short  bool
 	left   bool
 	began  time.Time
-	// witnesses are those of the latest statement that was answered, next those
-	// of the coming ones.
+	// witnesses are those of the latest statement that was answered, asked those
+	// of the statements since, next those of the coming ones.
 	witnesses, asked, next []fleet.NodeID
-	// entered is set while the reserve may be used.
-	entered bool
 }
 
 type reservation struct {
@@ -49,12 +47,16 @@
 	granted   Tokens
 	// mark is what the ledger confirmed, or less where a lower one was stated.
 	mark Tokens
-	// start is the part of mark that may be spent at once.
+	// start is the part of mark that may be spent at once, raised what witnesses
+	// have recorded since the latest answer.
 	start    Tokens
+	raised   Tokens
 	spent    Tokens
 	reserved Tokens
 	// loans is what was borrowed and is not reserved.
 	loans Tokens
+	// lending is what another node wants to borrow and no witness knows of yet.
+	lending Tokens
 	// waiting holds the worst cases of requests that wait for an answer.
 	waiting map[string]Tokens
 	// recall is set where the ledger wants back what is above keep.
@@ -82,7 +84,7 @@
 func (h *Holder) Renew(id fleet.NodeID) {
 	h.id = id
 	h.seq, h.heard, h.asking = 0, 0, 0
-	h.witnesses, h.entered = nil, false
+	h.witnesses, h.asked = nil, nil
 	h.fullAt = time.Time{}
 	h.requests = map[string]reservation{}
 	for c := range h.purses {
@@ -103,36 +105,34 @@
 // SetWitnesses names the witnesses of the coming statements.
 func (h *Holder) SetWitnesses(ids []fleet.NodeID) { h.next = ids }
 
-// Entry tells whether the holder wants to use its reserve, and whose word it
-// needs for that: there was no answer for CutOff.
-func (h *Holder) Entry(now time.Time) (e Entry, witnesses []fleet.NodeID, wanted bool) {
-	if h.entered || h.heard == 0 || h.left || now.Sub(h.answeredAt) < h.opts.CutOff {
-		return Entry{}, nil, false
+// lists are the witnesses that the ledger may know of: those of the latest answer
+// and those of statements since, whose answers may be lost.
+func (h *Holder) lists() [][]fleet.NodeID {
+	if slices.Equal(h.witnesses, h.asked) {
+		return [][]fleet.NodeID{h.witnesses}
 	}
-	if len(h.witnesses) == 0 {
-		h.entered = true
-		return Entry{}, nil, false
-	}
-	return Entry{Holder: h.id, Heard: h.heard}, h.witnesses, true
+	return [][]fleet.NodeID{h.witnesses, h.asked}
 }
 
-// Witnessed says how many witnesses have recorded an entry, and tells whether the
-// reserve may be used now.
-func (h *Holder) Witnessed(now time.Time, e Entry, n int) bool {
-	cutOff := now.Sub(h.answeredAt) >= h.opts.CutOff
-	if e.Holder == h.id && e.Heard == h.heard && cutOff && n >= toEnter(len(h.witnesses)) {
-		h.entered = true
+// witnessed tells whether spending beyond the starts needs witnesses.
+func (h *Holder) witnessed() bool { return len(h.witnesses)+len(h.asked) > 0 }
+
+// bound is what a purse may spend by the time that no answer has come for.
+func (h *Holder) bound(now time.Time, p *purse) Tokens {
+	silent := now.Sub(h.answeredAt)
+	if silent >= h.opts.CutOff {
+		return p.granted
 	}
-	return h.entered
+	return opened(p.start, p.mark, h.opts.Opened(silent))
 }
 
 // limit is what a purse may spend in all.
 func (h *Holder) limit(now time.Time, p *purse) Tokens {
-	if h.entered {
-		return p.granted
+	bound := h.bound(now, p)
+	if h.witnessed() {
+		return min(bound, max(p.start, p.raised))
 	}
-	share := float64(now.Sub(h.answeredAt)) / float64(h.opts.CutOff)
-	return opened(p.start, p.mark, share)
+	return bound
 }
 
 // Reserve takes the worst case of a request out of the customer's allowance, or
@@ -180,9 +180,9 @@
 func (h *Holder) refuse(now time.Time, customer string, p *purse, worst Tokens) error {
 	h.short = true
 	e := &RefusedError{
-		RetryIn: max(h.opts.CutOff-now.Sub(h.answeredAt), 0),
-		Reason:  Elsewhere, Customer: customer, Worst: worst, Spent: p.spent, Reserved: p.reserved,
-		Mark: p.mark, Granted: p.granted, Unspent: p.unspent, Age: now.Sub(h.answeredAt), CutOff: h.entered,
+		RetryIn: max(h.opts.CutOff-now.Sub(h.answeredAt), 0), Raisable: h.bound(now, p)-p.spent-p.reserved >= worst,
+		Reason: Elsewhere, Customer: customer, Worst: worst, Spent: p.spent, Reserved: p.reserved,
+		Mark: p.mark, Granted: p.granted, Unspent: p.unspent, Age: now.Sub(h.answeredAt), CutOff: now.Sub(h.answeredAt) >= h.opts.CutOff,
 	}
 	if p.unspent < worst {
 		e.Reason = Exhausted
@@ -249,7 +249,11 @@
 	h.asking = h.seq
 	h.sentAt = now
 	h.short = false
-	h.asked = h.next
+	if slices.Equal(h.asked, h.witnesses) {
+		// One change of the witnesses at a time: raises must reach all lists that
+		// the ledger may know.
+		h.asked = h.next
+	}
 	s := Statement{Witnesses: h.asked, Holder: h.id, Addr: h.addr, Seq: h.seq, Heard: h.heard, Left: h.left, Age: now.Sub(h.began)}
 	full := now.Sub(h.fullAt) >= h.opts.FullEvery
 	if full {
@@ -310,7 +314,9 @@
 	h.heard = seq
 	h.answeredAt = now
 	h.witnesses = h.asked
-	h.entered = false
+	for _, p := range h.purses {
+		p.raised = 0
+	}
 	for _, a := range answers {
 		p, ok := h.purses[a.Customer]
 		if !ok {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -38,7 +38,9 @@
 	// Bounded is set while the customer has a prepaid amount.
 	Bounded bool `cbor:"2,keyasint"`
 	// Billed is what ended holders spent.
-	Billed Tokens                `cbor:"3,keyasint"`
+	Billed Tokens `cbor:"3,keyasint"`
+	// Burned is the part of Billed that the holders had not stated as used.
+	Burned Tokens                `cbor:"7,keyasint,omitempty"`
 	Rows   map[fleet.NodeID]*Row `cbor:"4,keyasint"`
 	// ShortBy is the holder that lately needed more than was free, at ShortAt.
 	ShortBy fleet.NodeID `cbor:"5,keyasint,omitempty"`
@@ -54,21 +56,13 @@
 	// Used is what was spent, with what requests in progress may still spend.
 	Used    Tokens `cbor:"5,keyasint"`
 	Largest Tokens `cbor:"6,keyasint"`
-	// Start is the part of Mark that may be spent at once. BeforeStart and
-	// BeforeMark are those of the statement before: the holder goes by them while
-	// it has no answer to the latest.
-	Start       Tokens `cbor:"7,keyasint"`
-	BeforeStart Tokens `cbor:"8,keyasint"`
-	BeforeMark  Tokens `cbor:"9,keyasint"`
+	// Start is the part of Mark that may be spent at once. A holder that has no
+	// answer to its latest statement goes by lower ones: it lowers its own to what
+	// it asks for.
+	Start Tokens `cbor:"7,keyasint"`
 }
 
-// opened is the most that the holder can have spent when this share of CutOff had
-// passed since its last answer.
-func (r *Row) opened(share float64) Tokens {
-	return max(opened(r.Start, r.Mark, share), opened(r.BeforeStart, r.BeforeMark, share))
-}
-
-// opened is what may be spent of a mark after a share of CutOff without an answer.
+// opened is what may be spent when this share of a mark is open.
 func opened(start, mark Tokens, share float64) Tokens {
 	if share >= 1 {
 		return mark
@@ -199,7 +193,7 @@
 		out = append(out, l.allow(now.At, s.Holder, u, fresh))
 	}
 	if s.Left && fresh {
-		l.end(s.Holder, false, 1)
+		l.end(s.Holder, Evidence{Witnessed: true})
 		return out
 	}
 	return append(out, l.recalls(now.At, s)...)
@@ -230,25 +224,23 @@
 		if !ok {
 			return
 		}
-		l.end(id, !s.Prompt, s.Opened)
+		l.end(id, s.Replaced)
 	}
 }
 
-// end bills an ended holder what it had opened of its marks, and what it had in
-// reserve too, if it may have used it.
-func (l *Ledger) end(id fleet.NodeID, reserve bool, share float64) {
+// end bills an ended holder the most that it can have spent. The rest returns to
+// the customers.
+func (l *Ledger) end(id fleet.NodeID, e Evidence) {
 	l.Holders[id].Ended = true
-	for _, a := range l.Accounts {
+	for c, a := range l.Accounts {
 		r, ok := a.Rows[id]
 		if !ok {
 			continue
 		}
 		delete(a.Rows, id)
-		if reserve {
-			a.Billed += r.Granted
-			continue
-		}
-		a.Billed += min(max(r.opened(share), r.Used), r.Granted)
+		bill := e.bill(r, c)
+		a.Billed += bill
+		a.Burned += bill - min(r.Used, bill)
 	}
 }
 
@@ -270,7 +262,6 @@
 	if u.GiveBack {
 		r.Granted = min(r.Granted, max(u.Limit, used))
 	}
-	r.BeforeStart, r.BeforeMark = r.Start, r.Mark
 	r.Mark = min(max(u.Mark, used), r.Granted)
 	r.Start = min(max(u.Start, used), r.Mark)
 }
@@ -357,20 +348,30 @@
 }
 
 // Ending ends a holder that is silent since its statement Seq, and whose
-// witnesses refuse to let it use its reserve from now on.
+// witnesses refuse to record raises of it from now on.
 type Ending struct {
-	Holder fleet.NodeID `cbor:"1,keyasint"`
-	Seq    uint64       `cbor:"2,keyasint"`
+	Holder   fleet.NodeID `cbor:"1,keyasint"`
+	Seq      uint64       `cbor:"2,keyasint"`
+	Evidence Evidence     `cbor:"3,keyasint"`
 }
 
-// End bills a silent holder at its mark, unless it has spoken up since. It may
-// still live: then it learns of it from its next answer.
+// End bills a silent holder, unless it has spoken up since. It may still live:
+// then it learns of it from its next answer.
 func (l *Ledger) End(e Ending) {
 	if h, ok := l.Holders[e.Holder]; ok && !h.Ended && h.Seq == e.Seq {
-		l.end(e.Holder, false, 1)
+		l.end(e.Holder, e.Evidence)
 	}
 }
 
+// Burned sums up what ended holders were billed beyond what they had stated.
+func (l *Ledger) Burned() Tokens {
+	var sum Tokens
+	for _, a := range l.Accounts {
+		sum += a.Burned
+	}
+	return sum
+}
+
 // Ended tells whether a holder was ended.
 func (l *Ledger) Ended(id fleet.NodeID) bool {
 	h, ok := l.Holders[id]
--- a/core/quota/loan.go
+++ b/core/quota/loan.go
@@ -17,16 +17,18 @@
 	Want Tokens
 }
 
-// Lend returns the tokens that are lent.
-func (h *Holder) Lend(now time.Time, r LoanRequest) Tokens {
+// Lend returns the tokens that are lent. more is set where there are more once
+// the witnesses have recorded them.
+func (h *Holder) Lend(now time.Time, r LoanRequest) (amount Tokens, more bool) {
 	p, ok := h.purses[r.Customer]
 	if !ok || !p.known || p.unbounded || h.left || len(p.waiting) > 0 {
-		return 0
+		return 0, false
 	}
-	left := h.limit(now, p) - p.spent - p.reserved
-	amount := max(min(r.Want, Tokens(lendShare*float64(left))), 0)
+	wanted := max(min(r.Want, Tokens(lendShare*float64(h.bound(now, p)-p.spent-p.reserved))), 0)
+	amount = max(min(wanted, h.limit(now, p)-p.spent-p.reserved), 0)
+	p.lending = wanted - amount
 	p.spent += amount
-	return amount
+	return amount, p.lending > 0
 }
 
 // Borrowed takes in a loan.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -33,7 +33,9 @@
 			"end":     w.stepEnd,
 			"state":   w.stepState,
 			"state2":  w.stepState,
-			"enter":   w.stepEnter,
+			"greedy":  w.stepGreedy,
+			"raise":   w.stepRaise,
+			"raise2":  w.stepRaise,
 			"deliver": w.stepDeliver,
 			"flow":    w.stepFlow,
 			"lose":    w.stepLose,
@@ -175,8 +177,9 @@
 	is.NoErr(err)
 }
 
-// The reserve opens only after the cut-off, and only with half of the witnesses.
-func TestReserveNeedsWitnesses(t *testing.T) {
+// Beyond its start a holder spends only what half of its witnesses have recorded:
+// up to its mark before the cut-off, and all that was granted after it.
+func TestRaiseNeedsWitnesses(t *testing.T) {
 	is := is.New(t)
 	p := newPair(10_000)
 	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3", "entry-4"})
@@ -184,16 +187,93 @@
 	p.exchange()
 	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil) // no mark ahead without demand
 	p.now = p.now.Add(quota.DefaultOptions().CutOff - time.Millisecond)
-	_, _, wanted := p.holder.Entry(p.now)
-	is.True(!wanted)
+	_, _, wanted := p.holder.Raise(p.now)
+	is.True(!wanted) // there is nothing between start and mark
 	p.now = p.now.Add(time.Millisecond)
-	e, ids, wanted := p.holder.Entry(p.now)
+	r, lists, wanted := p.holder.Raise(p.now)
 	is.True(wanted)
-	is.Equal(len(ids), 3)
-	is.True(!p.holder.Witnessed(p.now, e, 1))
+	is.Equal(lists, [][]fleetID{{"entry-2", "entry-3", "entry-4"}})
+	is.Equal(r.Marks, map[string]quota.Tokens{"acme": 900})
+	is.True(!p.holder.Recorded(r, map[fleetID]bool{"entry-2": true, "entry-9": true}))
 	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
-	is.True(p.holder.Witnessed(p.now, e, 2))
+	is.True(p.holder.Recorded(r, map[fleetID]bool{"entry-2": true, "entry-4": true}))
 	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	is.True(p.holder.Reserve(p.now, "r2", "acme", 900) != nil) // the record covers one of them
+}
+
+// A raise names what is used beyond the starts, also of customers that want nothing
+// more: at a witness it replaces the raises from before the latest answer.
+func TestRaiseNamesWhatIsUsed(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.ledger.SetPrepaid(map[string]quota.Tokens{"acme": 10_000, "multan": 10_000})
+	p.holder.SetCustomers(p.now, []string{"acme", "multan"})
+	p.holder.SetWitnesses([]fleetID{"entry-2"})
+	p.exchange()
+	s := p.holder.Statement(p.now) // its answer comes late
+	p.now = p.now.Add(quota.DefaultOptions().CutOff)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	r, _, _ := p.holder.Raise(p.now)
+	is.True(p.holder.Recorded(r, map[fleetID]bool{"entry-2": true}))
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	p.holder.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+	p.now = p.now.Add(quota.DefaultOptions().CutOff)
+	is.True(p.holder.Reserve(p.now, "r2", "multan", 300) != nil)
+	r, _, wanted := p.holder.Raise(p.now)
+	is.True(wanted)
+	is.Equal(r.Marks, map[string]quota.Tokens{"acme": 900, "multan": 300})
+}
+
+// While it is not known whether control knows the new witnesses or the old ones,
+// both lists must record a raise.
+func TestRaiseWithTwoLists(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2"})
+	p.exchange()
+	p.holder.SetWitnesses([]fleetID{"entry-3"})
+	p.holder.Lost(p.holder.Statement(p.now).Seq) // the answer is lost
+	p.holder.SetWitnesses([]fleetID{"entry-4"})
+	p.holder.Lost(p.holder.Statement(p.now).Seq)
+	p.now = p.now.Add(quota.DefaultOptions().CutOff)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	r, lists, wanted := p.holder.Raise(p.now)
+	is.True(wanted)
+	is.Equal(lists, [][]fleetID{{"entry-2"}, {"entry-3"}})
+	is.True(!p.holder.Recorded(r, map[fleetID]bool{"entry-2": true}))
+	is.True(!p.holder.Recorded(r, map[fleetID]bool{"entry-3": true}))
+	is.True(p.holder.Recorded(r, map[fleetID]bool{"entry-2": true, "entry-3": true}))
+}
+
+// A holder that dies after it worked without control is billed what its witnesses
+// recorded, not all that it was granted.
+func TestDeadHolderIsBilledItsRaise(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3", "entry-4"})
+	p.exchange()
+	_ = p.holder.Reserve(p.now, "r0", "acme", 4_000)
+	p.exchange()
+	p.holder.GiveUp("r0", "acme")
+	p.now = p.now.Add(quota.DefaultOptions().FullEvery)
+	p.exchange()
+	p.now = p.now.Add(quota.DefaultOptions().CutOff)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	r, _, _ := p.holder.Raise(p.now)
+	var words []quota.Testimony
+	for _, id := range []fleetID{"entry-2", "entry-3", "entry-4"} {
+		w := quota.NewWitness(id)
+		r.Witness = id
+		if id != "entry-4" {
+			is.True(w.Raise(r))
+		}
+		words = append(words, w.Fence(id, "entry-1"))
+		is.True(!w.Raise(r)) // fenced
+	}
+	raised, verdict := p.ledger.Holders["entry-1"].Judge(words[1:])
+	is.Equal(verdict, quota.Settled)
+	p.ledger.End(quota.Ending{Holder: "entry-1", Seq: p.ledger.Holders["entry-1"].Seq, Evidence: quota.Evidence{Witnessed: true, Raised: raised}})
+	is.Equal(p.ledger.Accounts["acme"].Billed, quota.Tokens(900))
 }
 
 // An allowance that was lowered is not spent beyond, though the mark was higher.
@@ -233,35 +313,42 @@
 	is.True(other.Reserve(p.now, "r1", "acme", 900) != nil)
 	r, wanted := other.LoanWanted("acme", 900)
 	is.True(wanted)
-	n := p.holder.Lend(p.now, r)
+	n, _ := p.holder.Lend(p.now, r)
 	is.Equal(n, quota.Tokens(1_800)) // two of the largest request
 	other.Borrowed("acme", n)
 	is.NoErr(other.Reserve(p.now, "r1", "acme", 900))
 	other.Settle(p.now, "r1", 100)
 	is.NoErr(other.Reserve(p.now, "r2", "acme", 1_700))
-	is.Equal(p.holder.Lend(p.now, quota.LoanRequest{Customer: "acme", Want: 5_000}), quota.Tokens(1_100)) // half of what is left
+	n, _ = p.holder.Lend(p.now, quota.LoanRequest{Customer: "acme", Want: 5_000})
+	is.Equal(n, quota.Tokens(1_100)) // half of what is left
 }
 
-// What the witnesses say of an ended holder. Two of three must know before a
-// reserve is used, so two that have not seen it clear the holder.
+// What the witnesses say of an ended holder. Two of three must record a raise, so
+// any two know of each that was used.
 func TestJudge(t *testing.T) {
 	life := quota.Life{Heard: 7, Witnesses: []fleetID{"a", "b", "c"}}
-	clear, used, lost := quota.Testimony{Valid: true, Entered: 6}, quota.Testimony{Valid: true, Entered: 7}, quota.Testimony{}
+	marks := func(n quota.Tokens) map[string]quota.Tokens { return map[string]quota.Tokens{"acme": n} }
+	clean, old, lost := quota.Testimony{Valid: true}, quota.Testimony{Valid: true, Heard: 6, Marks: marks(900)}, quota.Testimony{}
+	low, high := quota.Testimony{Valid: true, Heard: 7, Marks: marks(300)}, quota.Testimony{Valid: true, Heard: 8, Marks: marks(500)}
 	for name, c := range map[string]struct {
 		words []quota.Testimony
 		want  quota.Verdict
+		marks map[string]quota.Tokens
 	}{
-		"two that have not seen it clear it":  {[]quota.Testimony{clear, clear}, quota.Cleared},
-		"one that has seen it decides":        {[]quota.Testimony{clear, clear, used}, quota.Used},
-		"nobody answers":                      {nil, quota.Open},
-		"one has not seen it, one is lost":    {[]quota.Testimony{clear, lost}, quota.Open},
-		"one of three is not enough":          {[]quota.Testimony{clear}, quota.Open},
-		"two are lost, so nobody can tell":    {[]quota.Testimony{lost, lost}, quota.Used},
-		"two are lost, the third clears none": {[]quota.Testimony{clear, lost, lost}, quota.Used},
+		"two that have recorded nothing":     {[]quota.Testimony{clean, clean}, quota.Settled, map[string]quota.Tokens{}},
+		"records from before the statement":  {[]quota.Testimony{old, clean}, quota.Settled, map[string]quota.Tokens{}},
+		"the highest record counts":          {[]quota.Testimony{low, clean, high}, quota.Settled, marks(500)},
+		"one record, one that lost it":       {[]quota.Testimony{low, lost}, quota.Open, nil},
+		"nobody answers":                     {nil, quota.Open, nil},
+		"one of three is not enough":         {[]quota.Testimony{clean}, quota.Open, nil},
+		"two are lost, so nobody can tell":   {[]quota.Testimony{lost, lost}, quota.Unproven, nil},
+		"two are lost, the third can't tell": {[]quota.Testimony{clean, lost, lost}, quota.Unproven, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(life.Judge(c.words), c.want)
+			raised, verdict := life.Judge(c.words)
+			is.Equal(verdict, c.want)
+			is.Equal(raised, c.marks)
 		})
 	}
 }
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -25,14 +25,11 @@
 	Left bool `cbor:"6,keyasint,omitempty"`
 	// Age is how long the holder's process has run.
 	Age time.Duration `cbor:"7,keyasint"`
-	// Prompt is set by the control group's leader where the holder replaces one
-	// at its address that can't have used its reserve: it was started within
-	// CutOff of it, or the earlier one's witnesses say so. Opened is then the share
-	// of CutOff that had passed, at most, when the earlier one ended.
-	Prompt bool    `cbor:"8,keyasint,omitempty"`
-	Opened float64 `cbor:"10,keyasint,omitempty"`
-	// Witnesses are the nodes of which half must know before the holder uses its
-	// reserve. Without any it needs nobody's word.
+	// Replaced is set by the control group's leader where the holder replaces one
+	// at its address: what is known of the earlier one's end.
+	Replaced Evidence `cbor:"11,keyasint"`
+	// Witnesses are the nodes of which half must have recorded what the holder
+	// spends beyond its starts. Without any it needs nobody's word.
 	Witnesses []fleet.NodeID `cbor:"9,keyasint,omitempty"`
 }
 
--- a/core/quota/witness.go
+++ b/core/quota/witness.go
@@ -1,52 +1,94 @@
 package quota
 
-import "dotterelgap/core/fleet"
+import (
+	"maps"
 
-// Witness remembers which holders have begun to use their reserve. It lives in
-// memory only: a restarted node has another id and is nobody's witness yet.
+	"dotterelgap/core/fleet"
+)
+
+// Witness remembers how far other holders have raised their marks while control
+// did not answer. It lives in memory only: a restarted node has another id and is
+// nobody's witness yet.
 type Witness struct {
-	self    fleet.NodeID
-	entered map[fleet.NodeID]uint64
-	fenced  map[fleet.NodeID]struct{}
+	self   fleet.NodeID
+	raised map[fleet.NodeID]*record
+	fenced map[fleet.NodeID]struct{}
+}
+
+// record is the latest word of one holder.
+type record struct {
+	heard uint64
+	marks map[string]Tokens
 }
 
 // NewWitness returns a witness that has seen nothing.
 func NewWitness(self fleet.NodeID) *Witness {
-	return &Witness{self: self, entered: map[fleet.NodeID]uint64{}, fenced: map[fleet.NodeID]struct{}{}}
+	return &Witness{self: self, raised: map[fleet.NodeID]*record{}, fenced: map[fleet.NodeID]struct{}{}}
 }
 
-// Entry is a holder's announcement that it is about to use its reserve.
-type Entry struct {
+// Raise is a holder's announcement of what it may spend without control's word.
+type Raise struct {
 	Witness fleet.NodeID
 	Holder  fleet.NodeID
 	// Heard is the Seq of the holder's latest statement that was answered.
 	Heard uint64
+	// Marks holds, by customer, all that may be spent. Customers that are not
+	// named stay within what the ledger confirmed as their start.
+	Marks map[string]Tokens
 }
 
-// Enter records an entry. It is refused once the holder was fenced.
-func (w *Witness) Enter(e Entry) bool {
-	if _, ok := w.fenced[e.Holder]; ok || e.Witness != w.self {
+// Raise records a holder's marks. It is refused once the holder was fenced.
+func (w *Witness) Raise(r Raise) bool {
+	if _, ok := w.fenced[r.Holder]; ok || r.Witness != w.self {
+		return false
+	}
+	known, ok := w.raised[r.Holder]
+	switch {
+	case !ok || known.heard < r.Heard:
+		w.raised[r.Holder] = &record{heard: r.Heard, marks: maps.Clone(r.Marks)}
+	case known.heard > r.Heard:
 		return false
+	default:
+		mergeMarks(known.marks, r.Marks)
 	}
-	w.entered[e.Holder] = max(w.entered[e.Holder], e.Heard)
 	return true
 }
 
+// mergeMarks raises the marks of dst to those of src.
+func mergeMarks(dst, src map[string]Tokens) {
+	for c, n := range src {
+		dst[c] = max(dst[c], n)
+	}
+}
+
 // Testimony is a witness's word on a holder that has ended.
 type Testimony struct {
 	// Valid is false where the witness asked is another life of the node.
 	Valid bool
-	// Entered is the latest entry's Heard; 0 if there was none.
-	Entered uint64
+	// Heard and Marks are those of the holder's latest raise; Heard is 0 if there
+	// was none.
+	Heard uint64
+	Marks map[string]Tokens
 }
 
-// Fence refuses further entries of a holder, and tells about earlier ones.
+// Fence refuses further raises of a holder, and tells about the earlier ones.
 func (w *Witness) Fence(witness, holder fleet.NodeID) Testimony {
+	if witness == w.self {
+		w.fenced[holder] = struct{}{}
+	}
+	return w.Peek(witness, holder)
+}
+
+// Peek tells about the raises of a holder.
+func (w *Witness) Peek(witness, holder fleet.NodeID) Testimony {
 	if witness != w.self {
 		return Testimony{}
 	}
-	w.fenced[holder] = struct{}{}
-	return Testimony{Valid: true, Entered: w.entered[holder]}
+	t := Testimony{Valid: true}
+	if r, ok := w.raised[holder]; ok {
+		t.Heard, t.Marks = r.heard, maps.Clone(r.marks)
+	}
+	return t
 }
 
 // Verdict is what the witnesses' words say of an ended holder.
@@ -56,39 +98,77 @@
 const (
 	// Open: a witness that may know more has not answered.
 	Open Verdict = iota
-	// Cleared: the holder did not use its reserve after its last statement.
-	Cleared
-	// Used: it may have.
-	Used
+	// Settled: no raise of the holder is missing from the words.
+	Settled
+	// Unproven: too many witnesses have lost their memory, or there were none.
+	Unproven
 )
 
-// toEnter is the number of witnesses, of n, that must know before a reserve is
-// used: half of them, so that one that is slow or dead does not keep it shut.
-func toEnter(n int) int { return (n + 1) / 2 }
+// toRaise is the number of witnesses, of n, that must have recorded a raise before
+// it is used: half of them, so that one that is slow or dead does not prevent it.
+func toRaise(n int) int { return (n + 1) / 2 }
 
-// toClear is the number of witnesses whose word clears a holder: any so many have
-// one among them that would know.
-func toClear(n int) int { return n - toEnter(n) + 1 }
+// toSettle is the number of witnesses whose words are enough: any so many have one
+// among them that recorded each raise that was used.
+func toSettle(n int) int { return n - toRaise(n) + 1 }
 
-// Judge weighs the words of a holder's witnesses.
-func (h Life) Judge(words []Testimony) Verdict {
-	cleared, lost := 0, 0
+// recorded tells whether enough of a list of witnesses have recorded a raise.
+func recorded(list []fleet.NodeID, acked map[fleet.NodeID]bool) bool {
+	n := 0
+	for _, id := range list {
+		if acked[id] {
+			n++
+		}
+	}
+	return n >= toRaise(len(list))
+}
+
+// Judge weighs the words of a holder's witnesses. raised holds the highest marks
+// that the holder may have used since its latest statement.
+func (h Life) Judge(words []Testimony) (raised map[string]Tokens, v Verdict) {
+	raised = map[string]Tokens{}
+	valid, lost := 0, 0
 	for _, t := range words {
-		switch {
-		case !t.Valid:
+		if !t.Valid {
 			lost++
-		case t.Entered > 0 && t.Entered >= h.Heard:
-			return Used
-		default:
-			cleared++
+			continue
+		}
+		valid++
+		if t.Heard >= h.Heard {
+			mergeMarks(raised, t.Marks)
 		}
 	}
 	n := len(h.Witnesses)
 	switch {
-	case n > 0 && cleared >= toClear(n):
-		return Cleared
-	case n-lost < toClear(n) || n == 0:
-		return Used
+	case n > 0 && valid >= toSettle(n):
+		return raised, Settled
+	case n == 0 || n-lost < toSettle(n):
+		return nil, Unproven
+	}
+	return nil, Open
+}
+
+// Evidence bounds what an ended holder can have spent. Without any it is billed
+// all that it was granted.
+type Evidence struct {
+	// Witnessed is set where the witnesses' words are enough; Raised are then the
+	// marks that they recorded.
+	Witnessed bool              `cbor:"1,keyasint,omitempty"`
+	Raised    map[string]Tokens `cbor:"2,keyasint,omitempty"`
+	// Timed is set where the holder ended within CutOff of an answer; Opened is
+	// then the share of its marks that was open, at most.
+	Timed  bool    `cbor:"3,keyasint,omitempty"`
+	Opened float64 `cbor:"4,keyasint,omitempty"`
+}
+
+// bill is the most that the holder of a row can have spent.
+func (e Evidence) bill(r *Row, customer string) Tokens {
+	most := r.Granted
+	if e.Witnessed {
+		most = min(most, max(r.Start, r.Used, e.Raised[customer]))
+	}
+	if e.Timed {
+		most = min(most, max(opened(r.Start, r.Mark, e.Opened), r.Used))
 	}
-	return Open
+	return most
 }
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -13,8 +13,8 @@
 	"pgregory.net/rapid"
 )
 
-// customers are the customers of the world: one, so that faults meet.
-var customers = []string{"acme"}
+// customers are the customers of the world: few, so that faults meet.
+var customers = []string{"acme", "multan"}
 
 // request is one that was reserved and has not ended.
 type request struct {
@@ -57,6 +57,8 @@
 	// most is the most that was ever paid, spent what engines truly used or may
 	// still use for hosts that died.
 	most, spent map[string]quota.Tokens
+	// past holds what each life that is over had used, by customer.
+	past map[fleet.NodeID]map[string]quota.Tokens
 }
 
 func newWorld(hosts int) *world {
@@ -64,6 +66,7 @@
 		now: time.Unix(1_700_000_000, 0), opts: quota.DefaultOptions(), ledger: quota.NewLedger(),
 		moment: quota.Moment{Term: 1, By: 1},
 		paid:   map[string]quota.Tokens{}, most: map[string]quota.Tokens{}, spent: map[string]quota.Tokens{},
+		past: map[fleet.NodeID]map[string]quota.Tokens{},
 	}
 	for _, c := range customers {
 		w.setPaid(c, 10_000)
@@ -175,7 +178,7 @@
 
 // ask sends what the node wants to send, and lets it arrive.
 func (w *world) ask(h *host) {
-	w.enter(h)
+	w.raise(h)
 	if h.holder.Due(w.now) {
 		w.state(h)
 	}
@@ -213,7 +216,7 @@
 // book applies a statement as a leader does, and sends the answer back.
 func (w *world) book(h *host, holder *quota.Holder, s quota.Statement, _ time.Time) {
 	decided := false
-	if s.Prompt, s.Opened, decided = w.judge(s); !decided {
+	if s.Replaced, decided = w.evidence(s); !decided {
 		return
 	}
 	answers := w.ledger.Apply(w.stamp(), s)
@@ -224,6 +227,7 @@
 		}
 		if ended {
 			w.lives++
+			w.bury(holder)
 			holder.Renew(fleet.NodeID(fmt.Sprint("entry-", w.lives)))
 			return
 		}
@@ -231,32 +235,31 @@
 	})
 }
 
-// judge decides whether a replaced holder can't have used its reserve, and how
-// much of its marks it can have opened.
-func (w *world) judge(s quota.Statement) (prompt bool, opened float64, decided bool) {
+// evidence bounds what a replaced holder can have spent, as a leader does.
+func (w *world) evidence(s quota.Statement) (e quota.Evidence, decided bool) {
 	if _, known := w.ledger.Holders[s.Holder]; known {
-		return false, 1, true
+		return e, true
 	}
 	id, ok := w.ledger.EarlierAt(s.Addr, s.Holder)
 	if !ok {
-		return false, 1, true
+		return e, true
 	}
 	life := *w.ledger.Holders[id]
-	opened = 1
 	if !life.Sure.At.IsZero() {
-		gap := w.now.Sub(life.Sure.At) - s.Age
-		opened = min(float64(gap)/float64(w.opts.CutOff), 1)
+		if gap := w.now.Sub(life.Sure.At) - s.Age; gap < w.opts.CutOff {
+			e.Timed, e.Opened = true, w.opts.Opened(gap)
+		}
 	}
-	if opened < 1 {
-		return true, opened, true
+	if e.Timed && e.Opened == 0 {
+		return e, true
 	}
-	switch life.Judge(w.testimonies(life, id)) {
-	case quota.Cleared:
-		return true, 1, true
-	case quota.Open:
-		return false, 1, s.Age > 3*time.Second
+	var verdict quota.Verdict
+	e.Raised, verdict = life.Judge(w.testimonies(life, id, false))
+	e.Witnessed = verdict == quota.Settled
+	if !e.Timed && verdict == quota.Open && s.Age <= 3*time.Second {
+		return e, false
 	}
-	return false, 1, true
+	return e, true
 }
 
 // stepEndSilent ends a holder that has been silent, as a leader does: its
@@ -267,18 +270,28 @@
 		if life.Ended || w.now.Sub(life.Last.At) < w.opts.CutOff {
 			continue
 		}
-		if life.Judge(w.testimonies(life, id)) == quota.Cleared {
-			w.send(func() { w.ledger.End(quota.Ending{Holder: id, Seq: life.Seq}) })
+		peeked, verdict := life.Judge(w.testimonies(life, id, true))
+		if verdict != quota.Settled || (len(peeked) > 0 && rapid.Bool().Draw(t, "at work")) {
+			continue
+		}
+		raised, verdict := life.Judge(w.testimonies(life, id, false))
+		if verdict == quota.Settled {
+			e := quota.Evidence{Witnessed: true, Raised: raised}
+			w.send(func() { w.ledger.End(quota.Ending{Holder: id, Seq: life.Seq, Evidence: e}) })
 		}
 	}
 }
 
 // testimonies asks the witnesses that control can reach.
-func (w *world) testimonies(life quota.Life, id fleet.NodeID) []quota.Testimony {
+func (w *world) testimonies(life quota.Life, id fleet.NodeID, peek bool) []quota.Testimony {
 	var words []quota.Testimony
 	for _, o := range w.hosts {
 		if o.alive && !o.cutOff && w.witnessAt(life, o) {
-			words = append(words, o.witness.Fence(witnessOf(life, o, w), id))
+			ask := o.witness.Fence
+			if peek {
+				ask = o.witness.Peek
+			}
+			words = append(words, ask(witnessOf(life, o, w), id))
 		}
 	}
 	return words
@@ -298,34 +311,32 @@
 	return ""
 }
 
-func (w *world) stepEnter(t *rapid.T) {
+func (w *world) stepRaise(t *rapid.T) {
 	if h := w.pick(t, "host"); h.alive {
-		w.enter(h)
+		w.raise(h)
 	}
 }
 
-func (w *world) enter(h *host) {
-	e, ids, wanted := h.holder.Entry(w.now)
+// raise has a holder's marks recorded by its witnesses.
+func (w *world) raise(h *host) {
+	r, lists, wanted := h.holder.Raise(w.now)
 	if !wanted {
 		return
 	}
 	holder := h.holder
-	acks := 0
-	for _, id := range ids {
-		e := e
-		e.Witness = id
-		acked := false
+	acked := map[fleet.NodeID]bool{}
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(slices.Concat(lists...)))) {
+		r := r
+		r.Witness = id
 		w.send(func() {
 			o := w.byID(id)
-			if o == nil || h.lonely || o.lonely || acked || !o.witness.Enter(e) {
+			if o == nil || h.lonely || o.lonely || !o.witness.Raise(r) {
 				return
 			}
-			acked = true
-			acks++
-			n := acks
 			w.send(func() {
+				acked[id] = true
 				if h.alive && h.holder == holder && !h.lonely {
-					holder.Witnessed(w.now, e, n)
+					holder.Recorded(r, acked)
 				}
 			})
 		})
@@ -343,7 +354,7 @@
 	if !wanted {
 		return
 	}
-	n := from.holder.Lend(w.now, r)
+	n, _ := from.holder.Lend(w.now, r)
 	holder := to.holder
 	arrived := false
 	w.send(func() {
@@ -406,6 +417,7 @@
 		return
 	}
 	h.alive = false
+	w.bury(h.holder)
 	for _, r := range h.running {
 		w.spent[r.customer] += r.worst
 	}
@@ -435,7 +447,41 @@
 	w.moment.By = w.moment.By%3 + 1
 }
 
-// check is the oracle: engines never use more than was ever paid.
+// bury keeps what a life had used when it was over.
+func (w *world) bury(h *quota.Holder) {
+	w.past[fleet.NodeID(h.ID())] = usedOf(h)
+}
+
+func usedOf(h *quota.Holder) map[string]quota.Tokens {
+	used := map[string]quota.Tokens{}
+	for _, c := range customers {
+		used[c] = h.Used(c)
+	}
+	return used
+}
+
+// stepGreedy reserves all that a node lets it reserve.
+func (w *world) stepGreedy(t *rapid.T) {
+	h := w.pick(t, "host")
+	if !h.alive {
+		return
+	}
+	c := rapid.SampledFrom(customers).Draw(t, "customer")
+	for _, worst := range []quota.Tokens{2500, 700, 90, 9, 1} {
+		for range 10 {
+			w.reqs++
+			r := request{id: fmt.Sprint("r", w.reqs), customer: c, worst: worst}
+			if h.holder.Reserve(w.now, r.id, c, worst) != nil {
+				h.holder.GiveUp(r.id, c)
+				break
+			}
+			h.running = append(h.running, r)
+		}
+	}
+}
+
+// check is the oracle: engines never use more than was ever paid, and an ended
+// holder is billed at least what it had used, also one that still lives.
 func (w *world) check(t *rapid.T) {
 	for _, c := range customers {
 		total := w.spent[c]
@@ -449,5 +495,36 @@
 		if total > w.most[c] {
 			t.Fatalf("%s: %d may be used, %d were paid", c, total, w.most[c])
 		}
+		if ended, billed := w.endedUse(c), w.billed(c); ended > billed {
+			t.Fatalf("%s: ended holders used %d and were billed %d", c, ended, billed)
+		}
+	}
+}
+
+// endedUse is what the holders that the ledger has ended had used.
+func (w *world) endedUse(customer string) (sum quota.Tokens) {
+	now := map[fleet.NodeID]map[string]quota.Tokens{}
+	for _, h := range w.hosts {
+		if h.alive {
+			now[fleet.NodeID(h.holder.ID())] = usedOf(h.holder)
+		}
+	}
+	for id, life := range w.ledger.Holders {
+		if !life.Ended {
+			continue
+		}
+		if used, ok := now[id]; ok {
+			sum += used[customer]
+			continue
+		}
+		sum += w.past[id][customer]
+	}
+	return sum
+}
+
+func (w *world) billed(customer string) quota.Tokens {
+	if a, ok := w.ledger.Accounts[customer]; ok {
+		return a.Billed
 	}
+	return 0
 }
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -9,6 +9,7 @@
 
 	"dotterelgap/core/config"
 	"dotterelgap/core/fleet"
+	"dotterelgap/core/quota"
 	"dotterelgap/core/raft"
 	"dotterelgap/core/state"
 	"dotterelgap/io/disk"
@@ -42,9 +43,8 @@
 	FirstOperator config.Digest
 	Rand          *rand.Rand
 	Election      time.Duration
-	// CutOff is the time without control after which holders of quotas use
-	// their reserve; see core/quota.
-	CutOff time.Duration
+	// Quota holds the times that holders of prepaid budgets go by.
+	Quota quota.Options
 	// Replace lets the leader take out voters that are silent, once another host
 	// can stand in, and learners that never come back.
 	Replace bool
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -25,15 +25,15 @@
 
 // Times of ending holders that are silent.
 const (
-	// holderSilence is longer than a holder in a cut waits before it uses its
-	// reserve, so that one that lives has told its witnesses.
+	// holderSilence is longer than a holder in a cut can do without its witnesses,
+	// so that one that lives and serves has told them.
 	holderSilence = 6 * time.Second
 	// endAgain is the time between two attempts to end a holder.
 	endAgain = 2 * time.Second
 )
 
 // endSilent looks for holders that have been silent for long, and ends those
-// whose witnesses have not seen them use their reserve. Loop only.
+// whose witnesses have not seen them at work since. Loop only.
 func (h *Host) endSilent(now time.Time) {
 	for id, life := range h.state.Quota.Holders {
 		if life.Ended || now.Sub(h.duty.since) < holderSilence || now.Sub(h.duty.ending[id]) < endAgain {
@@ -50,12 +50,18 @@
 }
 
 func (h *Host) endHolder(r replaced) {
-	if r.life.Judge(h.testimonies(r)) != quota.Cleared {
+	if raised, verdict := r.life.Judge(h.testimonies(r, peek)); verdict != quota.Settled || len(raised) > 0 {
 		return
 	}
-	h.log.Info("control: a silent holder of budgets is billed at its mark", zap.String("holder", string(r.id)),
-		zap.Stringer("addr", r.life.Addr))
-	h.commit(state.Command{EndHolder: &quota.Ending{Holder: r.id, Seq: r.life.Seq}})
+	raised, verdict := r.life.Judge(h.testimonies(r, fence))
+	if verdict != quota.Settled {
+		return
+	}
+	h.log.Info("control: a silent holder of budgets is ended", zap.String("holder", string(r.id)),
+		zap.Stringer("addr", r.life.Addr), zap.Any("raised", raised))
+	h.commit(state.Command{EndHolder: &quota.Ending{
+		Holder: r.id, Seq: r.life.Seq, Evidence: quota.Evidence{Witnessed: true, Raised: raised},
+	}})
 }
 
 // witnessesOf finds the addresses of a holder's witnesses. Loop only.
@@ -77,7 +83,7 @@
 	}
 	st := *args
 	var decided bool
-	if st.Prompt, st.Opened, decided = h.prompt(st, bootTime()); !decided {
+	if st.Replaced, decided = h.evidence(st, bootTime()); !decided {
 		reply.NotLeader = true
 		return nil
 	}
@@ -123,42 +129,40 @@
 	return r, ok
 }
 
-// prompt tells whether the holder that a newcomer replaces can't have used its
-// reserve: the newcomer's process was started less than CutOff after the last
-// statement that the earlier holder had an answer to, or its witnesses say so. It
-// is not decided while those who may know more can't be reached. opened is the
-// share of CutOff that had passed, at most, when the earlier holder ended. The
-// statement came at the boot time arrived.
-func (h *Host) prompt(st quota.Statement, arrived time.Duration) (prompt bool, opened float64, decided bool) {
+// evidence bounds what the holder can have spent that a newcomer replaces: by the
+// time between the last statement that the earlier holder had an answer to and the
+// start of the newcomer's process, and by the words of its witnesses. It is not
+// decided while those who may know more can't be reached. The statement came at
+// the boot time arrived.
+func (h *Host) evidence(st quota.Statement, arrived time.Duration) (e quota.Evidence, decided bool) {
 	r, ok := h.replaces(st)
 	if !ok {
-		return false, 1, true
+		return quota.Evidence{}, true
 	}
 	if !r.leading {
 		// This host may lead by the time that the statement is booked.
-		return false, 1, false
+		return quota.Evidence{}, false
 	}
 	gap, known := h.gap(r)
 	gap -= st.Age + bootTime() - arrived
-	verdict := quota.Cleared
-	var words []quota.Testimony
-	if !known || gap >= h.deps.CutOff {
-		words = h.testimonies(r)
-		verdict = r.life.Judge(words)
+	if known && gap < h.deps.Quota.CutOff {
+		e.Timed, e.Opened = true, h.deps.Quota.Opened(gap)
 	}
-	open := verdict == quota.Open || (verdict == quota.Used && !known)
-	if open && st.Age < decideWithin {
-		return false, 1, false
+	verdict := quota.Open
+	var words []quota.Testimony
+	if !e.Timed || e.Opened > 0 {
+		words = h.testimonies(r, fence)
+		e.Raised, verdict = r.life.Judge(words)
+		e.Witnessed = verdict == quota.Settled
 	}
-	opened = 1
-	if known {
-		opened = min(max(float64(gap)/float64(h.deps.CutOff), 0), 1)
+	if !e.Timed && st.Age < decideWithin && (verdict == quota.Open || (verdict == quota.Unproven && !known)) {
+		return quota.Evidence{}, false
 	}
 	h.log.Info("control: a holder of budgets is replaced", zap.String("holder", string(r.id)),
 		zap.String("by", string(st.Holder)), zap.Stringer("addr", st.Addr), zap.Bool("gap_known", known),
 		zap.Duration("gap", gap), zap.Duration("age", st.Age), zap.Duration("unsure", r.life.Last.At.Sub(r.life.Sure.At)),
-		zap.Duration("queued", bootTime()-arrived), zap.Any("testimonies", words), zap.Bool("reserve_kept", verdict == quota.Cleared))
-	return verdict == quota.Cleared, opened, true
+		zap.Duration("queued", bootTime()-arrived), zap.Any("testimonies", words), zap.Any("evidence", e))
+	return e, true
 }
 
 // gap is the time since the holder's last answered statement.
@@ -173,16 +177,23 @@
 	return since + r.last.At.Sub(r.life.Sure.At), ok
 }
 
-// testimonies asks the witnesses of a holder that has ended, and returns the
-// words of those that answer.
-func (h *Host) testimonies(r replaced) []quota.Testimony {
+// Ways of asking witnesses.
+const (
+	// fence makes them refuse further raises of the holder.
+	fence = false
+	peek  = true
+)
+
+// testimonies asks the witnesses of a holder, and returns the words of those that
+// answer.
+func (h *Host) testimonies(r replaced, peek bool) []quota.Testimony {
 	ctx, cancel := context.WithTimeout(context.Background(), elapsedTimeout)
 	defer cancel()
 	replies := make(chan *quota.Testimony, len(r.witnesses))
 	for id, addr := range r.witnesses {
 		go func() {
 			var t quota.Testimony
-			if err := h.deps.Pool.Call(ctx, addr, "Node.Fence", &wire.FenceArgs{Witness: id, Holder: r.id}, &t); err != nil {
+			if err := h.deps.Pool.Call(ctx, addr, "Node.Fence", &wire.FenceArgs{Witness: id, Holder: r.id, Peek: peek}, &t); err != nil {
 				replies <- nil
 				return
 			}
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -25,34 +24,28 @@
 	reserveWait = 250 * time.Millisecond
 	// answerAge is the age of the latest answer from which on no other is expected.
 	answerAge = 500 * time.Millisecond
-	// loanTimeout bounds asking one node for a loan, loanTries how many are asked.
-	loanTimeout = 50 * time.Millisecond
-	loanTries   = 6
-	// entryTimeout and entryPause bound asking the witnesses.
-	entryTimeout = 300 * time.Millisecond
-	entryPause   = 100 * time.Millisecond
 )
 
-// maxWitnesses bounds the nodes that must all know of the reserve's use.
+// maxWitnesses bounds the nodes that record what a holder spends without control.
 const maxWitnesses = 3
 
 // budgets drives the node's holder of prepaid budgets.
 type budgets struct {
-	n    *Node
-	kick chan struct{}
+	n *Node
+	// state and raise wake the loops that ask control and the witnesses.
+	state, raise chan struct{}
 
 	mu     sync.Mutex
 	holder *quota.Holder
 	// witness knows of other nodes' holders.
 	witness *quota.Witness
-	entryAt time.Time
-	// answered is closed with the next answer.
-	answered chan struct{}
+	// changed is closed with the next answer of control or record of a witness.
+	changed chan struct{}
 }
 
 func newBudgets(n *Node, id fleet.NodeID) *budgets {
 	return &budgets{
-		n: n, kick: make(chan struct{}, 1), answered: make(chan struct{}),
+		n: n, state: make(chan struct{}, 1), raise: make(chan struct{}, 1), changed: make(chan struct{}),
 		holder: quota.NewHolder(id, n.self, n.deps.Quota, time.Now()), witness: quota.NewWitness(id),
 	}
 }
@@ -70,7 +63,7 @@
 		if !errors.As(err, &refused) {
 			return err
 		}
-		if refused.Age > answerAge {
+		if refused.Age > answerAge && !refused.Raisable {
 			if refused.Reason != quota.Unknown && b.borrow(ctx, customer, worst) {
 				_, err = b.tryReserve(id, customer, worst)
 			}
@@ -87,60 +80,32 @@
 	}
 }
 
-// tryReserve also returns a channel that is closed with the next answer.
+// tryReserve also returns a channel that is closed with the next change.
 func (b *budgets) tryReserve(id, customer string, worst quota.Tokens) (<-chan struct{}, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	err := b.holder.Reserve(time.Now(), id, customer, worst)
 	if b.holder.Short() {
-		select {
-		case b.kick <- struct{}{}:
-		default:
-		}
+		wake(b.state)
 	}
-	return b.answered, err
-}
-
-// borrow asks other nodes for tokens while control does not answer, and tells
-// whether it has enough for a request.
-func (b *budgets) borrow(ctx context.Context, customer string, worst quota.Tokens) bool {
-	for _, addr := range b.n.lenders(loanTries) {
-		b.mu.Lock()
-		r, wanted := b.holder.LoanWanted(customer, worst)
-		b.mu.Unlock()
-		if !wanted {
-			return true
-		}
-		b.ask(ctx, addr, r)
+	if err != nil {
+		wake(b.raise)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	_, wanted := b.holder.LoanWanted(customer, worst)
-	return !wanted
+	return b.changed, err
 }
 
-// ask asks one node for a loan.
-func (b *budgets) ask(ctx context.Context, addr netip.AddrPort, r quota.LoanRequest) {
-	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
-	defer cancel()
-	var amount quota.Tokens
-	if err := b.n.deps.Pool.Call(ctx, addr, "Node.Lend", &r, &amount); err != nil || amount == 0 {
-		return
+// wake makes a loop look again.
+func wake(loop chan<- struct{}) {
+	select {
+	case loop <- struct{}{}:
+	default:
 	}
-	b.mu.Lock()
-	b.holder.Borrowed(r.Customer, amount)
-	b.mu.Unlock()
-	b.n.log.Info("node: tokens were borrowed", zap.String("customer", r.Customer), zap.Int64("tokens", int64(amount)),
-		zap.Stringer("from", addr))
 }
 
-// Lend lends tokens to another node.
-func (s *Service) Lend(args *quota.LoanRequest, amount *quota.Tokens) error {
-	b := s.n.budgets
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	*amount = b.holder.Lend(time.Now(), *args)
-	return nil
+// announce wakes those who wait for tokens. The caller holds the lock.
+func (b *budgets) announce() {
+	close(b.changed)
+	b.changed = make(chan struct{})
 }
 
 func (b *budgets) giveUp(id, customer string) {
@@ -175,15 +140,14 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-b.kick:
+		case <-b.state:
 		case <-ticker.C:
 		}
 	}
 }
 
-// step sends a statement if one is due, or asks for witnesses.
+// step sends a statement if one is due.
 func (b *budgets) step(ctx context.Context) {
-	b.enter(ctx)
 	b.mu.Lock()
 	if !b.holder.Due(time.Now()) {
 		b.mu.Unlock()
@@ -205,8 +169,7 @@
 	reply, err := ctrl.Call[wire.QuotaReply](ctx, b.n.client, "Control.Quota", &s)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	close(b.answered)
-	b.answered = make(chan struct{})
+	b.announce()
 	switch {
 	case err != nil:
 		b.holder.Lost(s.Seq)
@@ -227,10 +190,10 @@
 	b.send(ctx, s)
 }
 
-// setWitnesses chooses the witnesses of the reserve: nodes that stay and are no
-// control hosts, since a cut that parts this node from control parts it from
-// those. If there is none, the reserve needs nobody's word, and is billed whole if
-// this node dies.
+// setWitnesses chooses the witnesses: nodes that stay and are no control hosts,
+// since a cut that parts this node from control parts it from those. If there is
+// none, nobody's word is needed, and all that was granted is billed if this node
+// dies in a cut.
 func (b *budgets) setWitnesses(alive []fleet.Peer) {
 	var ids []fleet.NodeID
 	for _, p := range alive {
@@ -243,58 +206,3 @@
 	defer b.mu.Unlock()
 	b.holder.SetWitnesses(ids[:min(len(ids), maxWitnesses)])
 }
-
-// enter asks the witnesses to record that the reserve is to be used.
-func (b *budgets) enter(ctx context.Context) {
-	b.mu.Lock()
-	e, ids, wanted := b.holder.Entry(time.Now())
-	due := time.Since(b.entryAt) >= entryPause
-	if wanted && due {
-		b.entryAt = time.Now()
-	}
-	b.mu.Unlock()
-	if !wanted || !due {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
-	defer cancel()
-	acks := make(chan bool, len(ids))
-	for _, id := range ids {
-		go func() {
-			e := e
-			e.Witness = id
-			var ok bool
-			err := b.n.deps.Pool.Call(ctx, b.n.addrOf(id), "Node.Enter", &e, &ok)
-			acks <- err == nil && ok
-		}()
-	}
-	n := 0
-	for range ids {
-		if <-acks {
-			n++
-		}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	opened := b.holder.Witnessed(time.Now(), e, n)
-	b.n.log.Info("node: no answer on budgets, asked the witnesses of the reserve", zap.Int("witnesses", len(ids)),
-		zap.Int("recorded", n), zap.Bool("opened", opened))
-}
-
-// Enter records that a holder is about to use its reserve.
-func (s *Service) Enter(args *quota.Entry, ok *bool) error {
-	b := s.n.budgets
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	*ok = b.witness.Enter(*args)
-	return nil
-}
-
-// Fence refuses entries of a holder that has ended, and tells about earlier ones.
-func (s *Service) Fence(args *wire.FenceArgs, reply *quota.Testimony) error {
-	b := s.n.budgets
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	*reply = b.witness.Fence(args.Witness, args.Holder)
-	return nil
-}
--- a/io/node/host.go
+++ b/io/node/host.go
@@ -60,7 +60,7 @@
 	failed := make(chan error, 1)
 	h, err := ctrl.Start(ctrl.Deps{
 		Log: r.n.log, Store: f.Store, Identity: f.Identity, Saved: f.Saved, Pool: r.n.deps.Pool, Addr: r.n.self,
-		Size: r.n.deps.Size, Rand: r.n.deps.Rand, CutOff: r.n.deps.Quota.CutOff, Replace: true,
+		Size: r.n.deps.Size, Rand: r.n.deps.Rand, Quota: r.n.deps.Quota, Replace: true,
 		OnPolicy: r.n.offer,
 		Fatal:    func(err error) { failed <- err },
 	})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -118,6 +118,7 @@
 	n.wg.Go(func() { n.followPolicies(ctx) })
 	n.wg.Go(func() { n.followFleet(ctx) })
 	n.wg.Go(func() { n.budgets.run(ctx) })
+	n.wg.Go(func() { n.budgets.raiseMarks(ctx) })
 	n.wg.Go(func() { n.host.run(ctx) })
 	n.wg.Go(func() { n.notices.send(ctx) })
 	n.wg.Go(n.notices.receive)
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -156,10 +156,12 @@
 	Known  bool
 }
 
-// FenceArgs asks a witness about a holder that has ended.
+// FenceArgs asks a witness about a holder, and to refuse its further raises unless
+// Peek is set.
 type FenceArgs struct {
 	Witness fleet.NodeID
 	Holder  fleet.NodeID
+	Peek    bool
 }
 
 // Empty is the answer of calls that answer nothing.
