Bill nothing for a request that was withdrawn before its answer began

Cause: a stream whose caller left before the first token was billed its prompt, since it may have run. Change: when a request is withdrawn only the sending side is closed, and the other side is read until it closes too, for 100 ms at most. No byte before a clean end means that no answer had begun. A reset, a byte or silence is billed as before.

--- a/io/conns/answer.go
+++ b/io/conns/answer.go
@@ -1,7 +1,6 @@
 package conns
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"net/netip"
@@ -71,8 +70,3 @@
 		return false
 	}
 }
-
-// closeOn closes the connection when ctx ends, which stops the upstream's work.
-func closeOn(ctx context.Context, c *conn) func() bool {
-	return context.AfterFunc(ctx, func() { _ = c.Close() })
-}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,12 +32,36 @@
 	// upstream said it keeps idle connections, or 0.
 	idleSince time.Time
 	keepAlive time.Duration
+	// answered is set once the answer in progress has begun.
+	answered atomic.Bool
 }
 
 func newConn(c net.Conn) *conn {
 	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer)}
 }
 
+// withdrawTime is how long an upstream may take to close its side of a connection
+// after a request was withdrawn.
+const withdrawTime = 100 * time.Millisecond
+
+// withdrawOn withdraws the request when ctx ends, which stops the upstream's work.
+// While no answer has begun only this side is closed: what comes until the other
+// side closes too tells whether one had.
+func (c *conn) withdrawOn(ctx context.Context) func() bool {
+	c.answered.Store(false)
+	return context.AfterFunc(ctx, func() {
+		half, ok := c.Conn.(interface{ CloseWrite() error })
+		if !ok || c.answered.Load() || half.CloseWrite() != nil {
+			_ = c.Close()
+			return
+		}
+		_ = c.SetReadDeadline(time.Now().Add(withdrawTime))
+	})
+}
+
+// errNoByte says that the other side closed the connection before it sent a byte.
+var errNoByte = errors.New("closed without an answer")
+
 // quiet tells whether an idle connection is still open and nothing has arrived
 // on it that nobody asked for.
 func (c *conn) quiet() bool {
@@ -115,6 +141,9 @@
 // read reads the answer to r, passing over interim answers and answers to
 // earlier requests. stray is set if there was one of the latter.
 func (c *conn) read(r *Request) (resp *http.Response, stray bool, err error) {
+	if _, err := c.br.Peek(1); err == io.EOF {
+		return nil, false, errNoByte
+	}
 	for {
 		resp, err = http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -299,3 +299,48 @@
 	}
 	is.Equal(p.Dialed(), uint64(2))
 }
+
+// What an upstream does after a request was withdrawn tells whether its answer had
+// begun.
+func TestWithdrawn(t *testing.T) {
+	waitForClose := func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+	for name, s := range map[string]struct {
+		step     step
+		declined bool
+	}{
+		"closes its side without a byte": {func(c net.Conn, _ string) bool { waitForClose(c); return false }, true},
+		"had begun its answer": {func(c net.Conn, id string) bool {
+			waitForClose(c)
+			_, _ = io.WriteString(c, answer(id, "x")[:9])
+			return false
+		}, false},
+		"does not close": {func(c net.Conn, _ string) bool {
+			waitForClose(c)
+			waitForClose(c)
+			time.Sleep(time.Second)
+			return false
+		}, false},
+		"resets the connection": {func(c net.Conn, _ string) bool {
+			waitForClose(c)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := start(t, s.step)
+			p := conns.NewPool(conns.DefaultOptions())
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				<-u.got
+				cancel()
+			}()
+			_, err := p.Send(ctx, u.addr, request("r1"))
+			var lost *conns.LostError
+			is.True(errors.As(err, &lost))
+			is.Equal(lost.Declined, s.declined)
+			is.True(errors.Is(err, context.Canceled))
+			is.Equal(p.Open(u.addr), 0)
+		})
+	}
+}
--- a/io/conns/errors.go
+++ b/io/conns/errors.go
@@ -22,7 +22,10 @@
 	Addr netip.AddrPort
 	// Reused is set where the connection had served another request before.
 	Reused bool
-	Err    error
+	// Declined is set where the request was withdrawn and the upstream then closed
+	// the connection without having sent a byte: its answer had not begun.
+	Declined bool
+	Err      error
 }
 
 // Error implements error.
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"syscall"
@@ -60,12 +61,20 @@
 	}
 	reused := c.uses > 0
 	c.uses++
-	stop := closeOn(ctx, c)
+	stop := c.withdrawOn(ctx)
 	wrote, err := c.write(r)
+	var readErr error
 	if err == nil {
-		resp, stray, readErr := c.read(r)
+		var resp *http.Response
+		var stray bool
+		resp, stray, readErr = c.read(r)
 		if readErr == nil {
 			c.keepAlive = keepAliveOf(resp.Header)
+			if ctx.Err() != nil {
+				// Nobody waits for the answer that has begun.
+				_ = c.Close()
+			}
+			c.answered.Store(true)
 			a := &Answer{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: reused,
 				pool: p, addr: addr, conn: c, resp: resp, wrote: wrote, stop: stop, clean: !stray,
@@ -81,7 +90,7 @@
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
-	return nil, &LostError{Addr: addr, Reused: reused, Err: err}
+	return nil, &LostError{Addr: addr, Reused: reused, Declined: ctx.Err() != nil && errors.Is(readErr, errNoByte), Err: err}
 }
 
 // get takes the idle connection that was used last, or opens one.
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -86,7 +86,10 @@
 		return verdict{outcome: sched.Failed, refusal: errNoUpstream}
 	}
 	c.ran = true
-	c.billed = max(c.billed, quota.Tokens(c.terms.Input))
+	var lost *conns.LostError
+	if !errors.As(err, &lost) || !lost.Declined {
+		c.billed = max(c.billed, quota.Tokens(c.terms.Input))
+	}
 	if ctx.Err() != nil {
 		return verdict{outcome: c.ending(), final: true, refusal: errTimeout, mayHaveRun: true}
 	}
