Bill by the time that passed also beyond the cut-off, and open grants evenly

Ruled out: a slow start (leader after 0.9 s, first requests served 1 s later). Change: marks go on opening at the same pace after the cut-off, and the grant opens evenly over 5 s beside them, at the holder and in the bill alike. Marks reach 4 s of demand at the cut-off: what is burned if all die at once against what can be served in a cut.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -119,11 +119,7 @@
 
 // bound is what a purse may spend by the time that no answer has come for.
 func (h *Holder) bound(now time.Time, p *purse) Tokens {
-	silent := now.Sub(h.answeredAt)
-	if silent >= h.opts.CutOff {
-		return p.granted
-	}
-	return opened(p.start, p.mark, h.opts.Opened(silent))
+	return h.opts.Opening(now.Sub(h.answeredAt)).limit(p.start, p.mark, p.granted)
 }
 
 // limit is what a purse may spend in all.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -62,14 +61,6 @@
 	Start Tokens `cbor:"7,keyasint"`
 }
 
-// opened is what may be spent when this share of a mark is open.
-func opened(start, mark Tokens, share float64) Tokens {
-	if share >= 1 {
-		return mark
-	}
-	return min(start+Tokens(math.Ceil(share*float64(mark-start))), mark)
-}
-
 // Life is what the ledger knows of one life of an entry.
 type Life struct {
 	Addr netip.AddrPort `cbor:"1,keyasint"`
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -4,10 +4,11 @@
 
 // Options tune a Holder.
 type Options struct {
-	// Marks open between OpenAfter and CutOff without an answer; after CutOff all
-	// that was granted may be used. All holders and the control group must use the
-	// same values.
-	OpenAfter, CutOff time.Duration
+	// OpenAfter is the time without an answer after which marks begin to open. They
+	// reach Mark at CutOff, and go on as fast up to what was granted; from CutOff on
+	// the grant opens too, evenly over GrantOpens, for customers whose demand grows.
+	// All holders and the control group must use the same values.
+	OpenAfter, CutOff, GrantOpens time.Duration
 	// Start is the demand that a holder can spend ahead at once, Ahead what it can
 	// spend by CutOff: what is burned when many nodes die at once against what
 	// they can serve when they are cut off.
@@ -31,7 +32,8 @@
 		OpenAfter:    400 * time.Millisecond,
 		CutOff:       2000 * time.Millisecond,
 		Start:        250 * time.Millisecond,
-		Ahead:        1600 * time.Millisecond,
+		GrantOpens:   5 * time.Second,
+		Ahead:        4000 * time.Millisecond,
 		Interval:     150 * time.Millisecond,
 		FullEvery:    time.Second,
 		Urgent:       10 * time.Millisecond,
@@ -39,10 +41,3 @@
 		LargestLife:  10 * time.Second,
 	}
 }
-
-// Opened is the share of the marks that is open when no answer has come for a
-// time.
-func (o Options) Opened(silent time.Duration) float64 {
-	share := float64(silent-o.OpenAfter) / float64(o.CutOff-o.OpenAfter)
-	return min(max(share, 0), 1)
-}
--- a/core/quota/witness.go
+++ b/core/quota/witness.go
@@ -155,10 +155,10 @@
 	// marks that they recorded.
 	Witnessed bool              `cbor:"1,keyasint,omitempty"`
 	Raised    map[string]Tokens `cbor:"2,keyasint,omitempty"`
-	// Timed is set where the holder ended within CutOff of an answer; Opened is
-	// then the share of its marks that was open, at most.
-	Timed  bool    `cbor:"3,keyasint,omitempty"`
-	Opened float64 `cbor:"4,keyasint,omitempty"`
+	// Timed is set where it is known how long the holder can have lived without an
+	// answer; Opening is then what was open, at most.
+	Timed   bool    `cbor:"3,keyasint,omitempty"`
+	Opening Opening `cbor:"4,keyasint"`
 }
 
 // bill is the most that the holder of a row can have spent.
@@ -168,7 +168,7 @@
 		most = min(most, max(r.Start, r.Used, e.Raised[customer]))
 	}
 	if e.Timed {
-		most = min(most, max(opened(r.Start, r.Mark, e.Opened), r.Used))
+		most = min(most, max(e.Opening.limit(r.Start, r.Mark, r.Granted), r.Used))
 	}
 	return most
 }
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -145,17 +145,16 @@
 	}
 	gap, known := h.gap(r)
 	gap -= st.Age + bootTime() - arrived
-	if known && gap < h.deps.Quota.CutOff {
-		e.Timed, e.Opened = true, h.deps.Quota.Opened(gap)
-	}
+	e.Timed, e.Opening = known, h.deps.Quota.Opening(gap)
 	verdict := quota.Open
 	var words []quota.Testimony
-	if !e.Timed || e.Opened > 0 {
+	if !known || gap > h.deps.Quota.OpenAfter {
 		words = h.testimonies(r, fence)
 		e.Raised, verdict = r.life.Judge(words)
 		e.Witnessed = verdict == quota.Settled
 	}
-	if !e.Timed && st.Age < decideWithin && (verdict == quota.Open || (verdict == quota.Unproven && !known)) {
+	soon := known && gap < h.deps.Quota.CutOff
+	if !soon && st.Age < decideWithin && (verdict == quota.Open || (verdict == quota.Unproven && !known)) {
 		return quota.Evidence{}, false
 	}
 	h.log.Info("control: a holder of budgets is replaced", zap.String("holder", string(r.id)),
