Keep raises on the disks of control hosts, for the end of all processes at once

Change: a control host's disk holds a keeper, a witness whose records last. Early in a cut a holder spends beyond its start only what a keeper has recorded too; 1.2 s later it does without. If the words of all keepers are there, an ended holder is billed those, or what had opened without one. A disk that was replaced has another id and answers for nothing.

--- a/core/fleet/peer.go
+++ b/core/fleet/peer.go
@@ -13,6 +13,8 @@
 	API  netip.AddrPort
 	// Disk is set where the node has a data folder and can join the control group.
 	Disk bool
+	// Keeper is the id of the witness on the node's disk, if there is one.
+	Keeper NodeID
 	// Beat grows while the node lives.
 	Beat uint64
 	// Policy is the number of the routing policy in force at the node.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -28,9 +28,9 @@
 	short  bool
 	left   bool
 	began  time.Time
-	// witnesses are those of the latest statement that was answered, asked those
-	// of the statements since, next those of the coming ones.
-	witnesses, asked, next []fleet.NodeID
+	// panel is that of the latest statement that was answered, asked that of the
+	// statements since, next that of the coming ones.
+	panel, asked, next panel
 }
 
 type reservation struct {
@@ -48,9 +48,10 @@
 	// mark is what the ledger confirmed, or less where a lower one was stated.
 	mark Tokens
 	// start is the part of mark that may be spent at once, raised what witnesses
-	// have recorded since the latest answer.
+	// have recorded since the latest answer, kept what a keeper has.
 	start    Tokens
 	raised   Tokens
+	kept     Tokens
 	spent    Tokens
 	reserved Tokens
 	// loans is what was borrowed and is not reserved.
@@ -84,7 +85,7 @@
 func (h *Holder) Renew(id fleet.NodeID) {
 	h.id = id
 	h.seq, h.heard, h.asking = 0, 0, 0
-	h.witnesses, h.asked = nil, nil
+	h.panel, h.asked = panel{}, panel{}
 	h.fullAt = time.Time{}
 	h.requests = map[string]reservation{}
 	for c := range h.purses {
@@ -102,33 +103,41 @@
 	}
 }
 
-// SetWitnesses names the witnesses of the coming statements.
-func (h *Holder) SetWitnesses(ids []fleet.NodeID) { h.next = ids }
+// SetWitnesses names the witnesses and the keepers of the coming statements.
+func (h *Holder) SetWitnesses(witnesses, keepers []fleet.NodeID) {
+	h.next = panel{witnesses: witnesses, keepers: keepers}
+}
 
-// lists are the witnesses that the ledger may know of: those of the latest answer
-// and those of statements since, whose answers may be lost.
-func (h *Holder) lists() [][]fleet.NodeID {
-	if slices.Equal(h.witnesses, h.asked) {
-		return [][]fleet.NodeID{h.witnesses}
+// panels are those that the ledger may know of: that of the latest answer, and
+// that of statements since, whose answers may be lost.
+func (h *Holder) panels() []panel {
+	if h.panel.equal(h.asked) {
+		return []panel{h.panel}
 	}
-	return [][]fleet.NodeID{h.witnesses, h.asked}
+	return []panel{h.panel, h.asked}
 }
 
-// witnessed tells whether spending beyond the starts needs witnesses.
-func (h *Holder) witnessed() bool { return len(h.witnesses)+len(h.asked) > 0 }
-
-// bound is what a purse may spend by the time that no answer has come for.
+// bound is what a purse may spend by the time that no answer has come for, if a
+// keeper records it.
 func (h *Holder) bound(now time.Time, p *purse) Tokens {
 	return h.opts.Opening(now.Sub(h.answeredAt)).limit(p.start, p.mark, p.granted)
 }
 
+// unkept is what a purse may spend without a keeper.
+func (h *Holder) unkept(now time.Time, p *purse) Tokens {
+	if len(h.panel.keepers)+len(h.asked.keepers) == 0 {
+		return h.bound(now, p)
+	}
+	return h.opts.Opening(now.Sub(h.answeredAt)-h.opts.KeeperLead).limit(p.start, p.mark, p.granted)
+}
+
 // limit is what a purse may spend in all.
 func (h *Holder) limit(now time.Time, p *purse) Tokens {
-	bound := h.bound(now, p)
-	if h.witnessed() {
-		return min(bound, max(p.start, p.raised))
+	limit := max(h.unkept(now, p), min(h.bound(now, p), p.kept))
+	if len(h.panel.witnesses)+len(h.asked.witnesses) > 0 {
+		limit = min(limit, max(p.start, p.raised))
 	}
-	return bound
+	return limit
 }
 
 // Reserve takes the worst case of a request out of the customer's allowance, or
@@ -245,12 +254,12 @@
 	h.asking = h.seq
 	h.sentAt = now
 	h.short = false
-	if slices.Equal(h.asked, h.witnesses) {
-		// One change of the witnesses at a time: raises must reach all lists that
+	if h.asked.equal(h.panel) {
+		// One change of the witnesses at a time: raises must reach all panels that
 		// the ledger may know.
 		h.asked = h.next
 	}
-	s := Statement{Witnesses: h.asked, Holder: h.id, Addr: h.addr, Seq: h.seq, Heard: h.heard, Left: h.left, Age: now.Sub(h.began)}
+	s := Statement{Witnesses: h.asked.witnesses, Keepers: h.asked.keepers, Holder: h.id, Addr: h.addr, Seq: h.seq, Heard: h.heard, Left: h.left, Age: now.Sub(h.began)}
 	full := now.Sub(h.fullAt) >= h.opts.FullEvery
 	if full {
 		h.fullAt = now
@@ -309,9 +318,9 @@
 	h.asking = 0
 	h.heard = seq
 	h.answeredAt = now
-	h.witnesses = h.asked
+	h.panel = h.asked
 	for _, p := range h.purses {
-		p.raised = 0
+		p.raised, p.kept = 0, 0
 	}
 	for _, a := range answers {
 		p, ok := h.purses[a.Customer]
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -71,9 +71,10 @@
 	Sure Moment `cbor:"4,keyasint"`
 	// Ended is set once the holder's rows are billed.
 	Ended bool `cbor:"5,keyasint"`
-	// Heard and Witnesses are those of the latest statement.
+	// Heard, Witnesses and Keepers are those of the latest statement.
 	Heard     uint64         `cbor:"6,keyasint"`
 	Witnesses []fleet.NodeID `cbor:"7,keyasint,omitempty"`
+	Keepers   []fleet.NodeID `cbor:"8,keyasint,omitempty"`
 }
 
 // Ledger is the replicated state of all budgets. Its fields are exported for
@@ -174,7 +175,7 @@
 		if s.Heard == h.Seq {
 			h.Sure = h.Last
 		}
-		h.Seq, h.Last, h.Heard, h.Witnesses = s.Seq, now, s.Heard, s.Witnesses
+		h.Seq, h.Last, h.Heard, h.Witnesses, h.Keepers = s.Seq, now, s.Heard, s.Witnesses, s.Keepers
 	}
 	out := make([]Allowance, 0, len(s.Uses))
 	for _, u := range s.Uses {
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -9,6 +9,9 @@
 	// the grant opens too, evenly over GrantOpens, for customers whose demand grows.
 	// All holders and the control group must use the same values.
 	OpenAfter, CutOff, GrantOpens time.Duration
+	// KeeperLead is how much earlier all this opens to a holder whose raises a
+	// keeper has recorded: they are known when all processes end at once.
+	KeeperLead time.Duration
 	// Start is the demand that a holder can spend ahead at once, Ahead what it can
 	// spend by CutOff: what is burned when many nodes die at once against what
 	// they can serve when they are cut off.
@@ -33,6 +36,7 @@
 		CutOff:       2000 * time.Millisecond,
 		Start:        250 * time.Millisecond,
 		GrantOpens:   5 * time.Second,
+		KeeperLead:   1200 * time.Millisecond,
 		Ahead:        4000 * time.Millisecond,
 		Interval:     150 * time.Millisecond,
 		FullEvery:    time.Second,
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -43,6 +43,8 @@
 			"borrow":  w.stepBorrow,
 			"borrow2": w.stepBorrow,
 			"kill":    w.stepKill,
+			"killall": w.stepKillAll,
+			"wipe":    w.stepWipe,
 			"start":   w.stepStart,
 			"cut":     w.stepCut,
 			"pay":     w.stepPay,
@@ -122,6 +124,11 @@
 
 type fleetID = fleet.NodeID
 
+func isRecorded(h *quota.Holder, r quota.Raise, acked map[fleetID]bool) bool {
+	recorded, _ := h.Recorded(r, acked)
+	return recorded
+}
+
 // cutOff is a time without an answer after which all that was granted is open.
 var cutOff = quota.DefaultOptions().CutOff + quota.DefaultOptions().GrantOpens
 
@@ -145,6 +152,20 @@
 	return p
 }
 
+// demand uses 1,000 tokens a second for a while.
+func (p *pair) demand(is *is.I) {
+	for i := range 200 {
+		p.now = p.now.Add(100 * time.Millisecond)
+		id := fmt.Sprint("d", i)
+		if p.holder.Reserve(p.now, id, "acme", 100) != nil {
+			p.exchange()
+			is.NoErr(p.holder.Reserve(p.now, id, "acme", 100))
+		}
+		p.holder.Settle(p.now, id, 100)
+		p.exchange()
+	}
+}
+
 func (p *pair) exchange() {
 	s := p.holder.Statement(p.now)
 	p.holder.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
@@ -186,21 +207,21 @@
 func TestRaiseNeedsWitnesses(t *testing.T) {
 	is := is.New(t)
 	p := newPair(10_000)
-	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3", "entry-4"})
+	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3", "entry-4"}, nil)
 	p.exchange()
 	p.exchange()
 	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil) // no mark ahead without demand
 	p.now = p.now.Add(quota.DefaultOptions().CutOff)
-	_, _, wanted := p.holder.Raise(p.now)
+	_, _, _, wanted := p.holder.Raise(p.now)
 	is.True(!wanted) // there is nothing between start and mark
 	p.now = p.now.Add(quota.DefaultOptions().GrantOpens)
-	r, lists, wanted := p.holder.Raise(p.now)
+	r, witnesses, _, wanted := p.holder.Raise(p.now)
 	is.True(wanted)
-	is.Equal(lists, [][]fleetID{{"entry-2", "entry-3", "entry-4"}})
+	is.Equal(witnesses, []fleetID{"entry-2", "entry-3", "entry-4"})
 	is.Equal(r.Marks, map[string]quota.Tokens{"acme": 900})
-	is.True(!p.holder.Recorded(r, map[fleetID]bool{"entry-2": true, "entry-9": true}))
+	is.True(!isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true, "entry-9": true}))
 	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
-	is.True(p.holder.Recorded(r, map[fleetID]bool{"entry-2": true, "entry-4": true}))
+	is.True(isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true, "entry-4": true}))
 	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
 	is.True(p.holder.Reserve(p.now, "r2", "acme", 900) != nil) // the record covers one of them
 }
@@ -212,18 +233,18 @@
 	p := newPair(10_000)
 	p.ledger.SetPrepaid(map[string]quota.Tokens{"acme": 10_000, "multan": 10_000})
 	p.holder.SetCustomers(p.now, []string{"acme", "multan"})
-	p.holder.SetWitnesses([]fleetID{"entry-2"})
+	p.holder.SetWitnesses([]fleetID{"entry-2"}, nil)
 	p.exchange()
 	s := p.holder.Statement(p.now) // its answer comes late
 	p.now = p.now.Add(cutOff)
 	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
-	r, _, _ := p.holder.Raise(p.now)
-	is.True(p.holder.Recorded(r, map[fleetID]bool{"entry-2": true}))
+	r, _, _, _ := p.holder.Raise(p.now)
+	is.True(isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true}))
 	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
 	p.holder.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
 	p.now = p.now.Add(cutOff)
 	is.True(p.holder.Reserve(p.now, "r2", "multan", 300) != nil)
-	r, _, wanted := p.holder.Raise(p.now)
+	r, _, _, wanted := p.holder.Raise(p.now)
 	is.True(wanted)
 	is.Equal(r.Marks, map[string]quota.Tokens{"acme": 900, "multan": 300})
 }
@@ -233,20 +254,20 @@
 func TestRaiseWithTwoLists(t *testing.T) {
 	is := is.New(t)
 	p := newPair(10_000)
-	p.holder.SetWitnesses([]fleetID{"entry-2"})
+	p.holder.SetWitnesses([]fleetID{"entry-2"}, nil)
 	p.exchange()
-	p.holder.SetWitnesses([]fleetID{"entry-3"})
+	p.holder.SetWitnesses([]fleetID{"entry-3"}, nil)
 	p.holder.Lost(p.holder.Statement(p.now).Seq) // the answer is lost
-	p.holder.SetWitnesses([]fleetID{"entry-4"})
+	p.holder.SetWitnesses([]fleetID{"entry-4"}, nil)
 	p.holder.Lost(p.holder.Statement(p.now).Seq)
 	p.now = p.now.Add(cutOff)
 	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
-	r, lists, wanted := p.holder.Raise(p.now)
+	r, witnesses, _, wanted := p.holder.Raise(p.now)
 	is.True(wanted)
-	is.Equal(lists, [][]fleetID{{"entry-2"}, {"entry-3"}})
-	is.True(!p.holder.Recorded(r, map[fleetID]bool{"entry-2": true}))
-	is.True(!p.holder.Recorded(r, map[fleetID]bool{"entry-3": true}))
-	is.True(p.holder.Recorded(r, map[fleetID]bool{"entry-2": true, "entry-3": true}))
+	is.Equal(witnesses, []fleetID{"entry-2", "entry-3"})
+	is.True(!isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true}))
+	is.True(!isRecorded(p.holder, r, map[fleetID]bool{"entry-3": true}))
+	is.True(isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true, "entry-3": true}))
 }
 
 // A holder that dies after it worked without control is billed what its witnesses
@@ -254,7 +275,7 @@
 func TestDeadHolderIsBilledItsRaise(t *testing.T) {
 	is := is.New(t)
 	p := newPair(10_000)
-	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3", "entry-4"})
+	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3", "entry-4"}, nil)
 	p.exchange()
 	_ = p.holder.Reserve(p.now, "r0", "acme", 4_000)
 	p.exchange()
@@ -263,7 +284,7 @@
 	p.exchange()
 	p.now = p.now.Add(cutOff)
 	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
-	r, _, _ := p.holder.Raise(p.now)
+	r, _, _, _ := p.holder.Raise(p.now)
 	var words []quota.Testimony
 	for _, id := range []fleetID{"entry-2", "entry-3", "entry-4"} {
 		w := quota.NewWitness(id)
@@ -362,17 +383,8 @@
 func TestAllEndAtOnce(t *testing.T) {
 	is := is.New(t)
 	p := newPair(1_000_000)
-	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3"})
-	for i := range 200 { // demand of 1,000 a second
-		p.now = p.now.Add(100 * time.Millisecond)
-		id := fmt.Sprint("r", i)
-		if p.holder.Reserve(p.now, id, "acme", 100) != nil {
-			p.exchange()
-			is.NoErr(p.holder.Reserve(p.now, id, "acme", 100))
-		}
-		p.holder.Settle(p.now, id, 100)
-		p.exchange()
-	}
+	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3"}, nil)
+	p.demand(is)
 	row := *p.ledger.Accounts["acme"].Rows["entry-1"]
 	is.True(row.Granted-row.Used > 30_000) // it can serve a long cut
 	gap := 2500 * time.Millisecond
@@ -384,3 +396,44 @@
 	is.True(burned > 0)
 	is.True(burned < row.Granted/4)
 }
+
+// Early in a cut a holder spends only what a keeper has recorded too, and is billed
+// that when all processes end at once; later it does without.
+func TestKeeper(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2"}, []fleetID{"keeper-1", "keeper-2"})
+	p.demand(is)
+	p.now = p.now.Add(quota.DefaultOptions().KeeperLead)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	r, witnesses, keepers, wanted := p.holder.Raise(p.now)
+	is.True(wanted)
+	is.Equal(witnesses, []fleetID{"entry-2"})
+	is.Equal(keepers, []fleetID{"keeper-1", "keeper-2"})
+	acked := map[fleetID]bool{"entry-2": true}
+	recorded, kept := p.holder.Recorded(r, acked)
+	is.True(recorded && !kept)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	acked["keeper-2"] = true
+	_, kept = p.holder.Recorded(r, acked)
+	is.True(kept)
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	p.now = p.now.Add(quota.DefaultOptions().CutOff)
+	is.True(p.holder.Reserve(p.now, "r2", "acme", 900) != nil)
+	later, _, _, _ := p.holder.Raise(p.now)
+	is.True(isRecorded(p.holder, later, map[fleetID]bool{"entry-2": true}))
+	is.NoErr(p.holder.Reserve(p.now, "r2", "acme", 900))
+
+	life := *p.ledger.Holders["entry-1"]
+	one, two := quota.NewWitness("keeper-1"), quota.NewWitness("keeper-2")
+	r.Witness = "keeper-2"
+	is.True(two.Raise(r))
+	words := []quota.Testimony{one.Peek("keeper-1", "entry-1"), two.Peek("keeper-2", "entry-1")}
+	marks, verdict := life.JudgeKept(words)
+	is.Equal(verdict, quota.Settled)
+	is.Equal(marks, r.Marks)
+	_, verdict = life.JudgeKept(words[1:])
+	is.Equal(verdict, quota.Open)
+	_, verdict = life.JudgeKept([]quota.Testimony{words[0], {}}) // the disk was replaced
+	is.Equal(verdict, quota.Unproven)
+}
--- a/core/quota/raise.go
+++ b/core/quota/raise.go
@@ -1,23 +1,27 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"dotterelgap/core/fleet"
 )
 
 // Raise is what the holder wants its witnesses to record while no answer comes,
-// and their lists; of each list enough must record it.
-func (h *Holder) Raise(now time.Time) (r Raise, lists [][]fleet.NodeID, wanted bool) {
-	silent := now.Sub(h.answeredAt)
-	if h.heard == 0 || h.left || silent < h.opts.OpenAfter || !h.witnessed() {
-		return Raise{}, nil, false
+// and who they are, the keepers among them.
+func (h *Holder) Raise(now time.Time) (r Raise, witnesses, keepers []fleet.NodeID, wanted bool) {
+	if h.heard == 0 || h.left || now.Sub(h.answeredAt) < h.opts.OpenAfter {
+		return Raise{}, nil, nil, false
+	}
+	for _, p := range h.panels() {
+		witnesses = append(witnesses, p.witnesses...)
+		keepers = append(keepers, p.keepers...)
 	}
 	r = Raise{Holder: h.id, Heard: h.heard, Marks: map[string]Tokens{}}
 	for c, p := range h.purses {
 		used := p.spent + p.reserved
-		mark := max(used, p.raised)
-		if target := h.target(now, p); target > max(p.start, p.raised) && h.low(now, p) {
+		mark := max(used, p.raised, p.kept)
+		if target := h.target(now, p); target > h.limit(now, p) && h.low(now, p) {
 			mark = max(mark, target)
 			wanted = true
 		}
@@ -27,7 +31,12 @@
 			r.Marks[c] = mark
 		}
 	}
-	return r, h.lists(), wanted
+	return r, unique(witnesses), unique(keepers), wanted && len(witnesses)+len(keepers) > 0
+}
+
+func unique(ids []fleet.NodeID) []fleet.NodeID {
+	slices.Sort(ids)
+	return slices.Compact(ids)
 }
 
 // target is the mark that a purse wants to have recorded.
@@ -47,22 +56,29 @@
 	return h.limit(now, p)-p.spent-p.reserved < h.ahead(now, p, h.opts.Start)/2
 }
 
-// Recorded says which witnesses have recorded a raise, and tells whether it is in
-// force now.
-func (h *Holder) Recorded(r Raise, acked map[fleet.NodeID]bool) bool {
+// Recorded says which witnesses have recorded a raise so far, and tells what of it
+// is in force: recorded where enough witnesses have it, kept where a keeper has.
+func (h *Holder) Recorded(r Raise, acked map[fleet.NodeID]bool) (recorded, kept bool) {
 	if r.Holder != h.id || r.Heard != h.heard {
-		return false
+		return false, false
 	}
-	for _, list := range h.lists() {
-		if !recorded(list, acked) {
-			return false
-		}
+	recorded, kept = true, true
+	for _, p := range h.panels() {
+		recorded = recorded && p.recorded(acked)
+		kept = kept && p.kept(acked)
 	}
 	for c, mark := range r.Marks {
-		if p, ok := h.purses[c]; ok {
+		p, ok := h.purses[c]
+		if !ok {
+			continue
+		}
+		if recorded {
 			p.raised = max(p.raised, mark)
 			p.lending = 0
 		}
+		if kept {
+			p.kept = max(p.kept, mark)
+		}
 	}
-	return true
+	return recorded, kept
 }
--- a/core/quota/witness.go
+++ b/core/quota/witness.go
@@ -2,13 +2,16 @@
 
 import (
 	"maps"
+	"slices"
+	"time"
 
 	"dotterelgap/core/fleet"
 )
 
 // Witness remembers how far other holders have raised their marks while control
-// did not answer. It lives in memory only: a restarted node has another id and is
-// nobody's witness yet.
+// did not answer. One that lives in memory ends with its node: a restarted node has
+// another id and is nobody's witness yet. A keeper is one that is written to a disk;
+// its id belongs to the data folder.
 type Witness struct {
 	self   fleet.NodeID
 	raised map[fleet.NodeID]*record
@@ -61,6 +64,25 @@
 	}
 }
 
+// Raises lists the latest raise of each holder.
+func (w *Witness) Raises() []Raise {
+	var out []Raise
+	for _, id := range slices.Sorted(maps.Keys(w.raised)) {
+		r := w.raised[id]
+		out = append(out, Raise{Witness: w.self, Holder: id, Heard: r.heard, Marks: maps.Clone(r.marks)})
+	}
+	return out
+}
+
+// Forget drops what is known of holders that the ledger has ended.
+func (w *Witness) Forget(ended func(fleet.NodeID) bool) {
+	for id := range w.raised {
+		if ended(id) {
+			delete(w.raised, id)
+		}
+	}
+}
+
 // Testimony is a witness's word on a holder that has ended.
 type Testimony struct {
 	// Valid is false where the witness asked is another life of the node.
@@ -112,17 +134,6 @@
 // among them that recorded each raise that was used.
 func toSettle(n int) int { return n - toRaise(n) + 1 }
 
-// recorded tells whether enough of a list of witnesses have recorded a raise.
-func recorded(list []fleet.NodeID, acked map[fleet.NodeID]bool) bool {
-	n := 0
-	for _, id := range list {
-		if acked[id] {
-			n++
-		}
-	}
-	return n >= toRaise(len(list))
-}
-
 // Judge weighs the words of a holder's witnesses. raised holds the highest marks
 // that the holder may have used since its latest statement.
 func (h Life) Judge(words []Testimony) (raised map[string]Tokens, v Verdict) {
@@ -148,6 +159,29 @@
 	return nil, Open
 }
 
+// JudgeKept weighs the words of a holder's keepers, any one of which may have
+// recorded a raise: all must be there.
+func (h Life) JudgeKept(words []Testimony) (kept map[string]Tokens, v Verdict) {
+	kept = map[string]Tokens{}
+	valid := 0
+	for _, t := range words {
+		if !t.Valid {
+			return nil, Unproven
+		}
+		valid++
+		if t.Heard >= h.Heard {
+			mergeMarks(kept, t.Marks)
+		}
+	}
+	switch {
+	case len(h.Keepers) == 0:
+		return nil, Unproven
+	case valid < len(h.Keepers):
+		return nil, Open
+	}
+	return kept, Settled
+}
+
 // Evidence bounds what an ended holder can have spent. Without any it is billed
 // all that it was granted.
 type Evidence struct {
@@ -156,9 +190,20 @@
 	Witnessed bool              `cbor:"1,keyasint,omitempty"`
 	Raised    map[string]Tokens `cbor:"2,keyasint,omitempty"`
 	// Timed is set where it is known how long the holder can have lived without an
-	// answer; Opening is then what was open, at most.
-	Timed   bool    `cbor:"3,keyasint,omitempty"`
-	Opening Opening `cbor:"4,keyasint"`
+	// answer; Opening is then what was open, at most, to one whose raises no keeper
+	// has recorded, and Kept the marks that keepers did record.
+	Timed   bool              `cbor:"3,keyasint,omitempty"`
+	Opening Opening           `cbor:"4,keyasint"`
+	Kept    map[string]Tokens `cbor:"5,keyasint,omitempty"`
+}
+
+// ByTime is the evidence of a holder that can have lived for a time without an
+// answer. kept is what its keepers say, where their words are enough.
+func (o Options) ByTime(silent time.Duration, kept map[string]Tokens, v Verdict) Evidence {
+	if v != Settled {
+		return Evidence{Timed: true, Opening: o.Opening(silent)}
+	}
+	return Evidence{Timed: true, Opening: o.Opening(silent - o.KeeperLead), Kept: kept}
 }
 
 // bill is the most that the holder of a row can have spent.
@@ -168,7 +213,7 @@
 		most = min(most, max(r.Start, r.Used, e.Raised[customer]))
 	}
 	if e.Timed {
-		most = min(most, max(e.Opening.limit(r.Start, r.Mark, r.Granted), r.Used))
+		most = min(most, max(e.Opening.limit(r.Start, r.Mark, r.Granted), r.Used, e.Kept[customer]))
 	}
 	return most
 }
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -30,7 +30,10 @@
 	began   time.Time
 	holder  *quota.Holder
 	witness *quota.Witness
-	running []request
+	// keeper outlives the node; nil where the host has no disk. keeperID is its id.
+	keeper   *quota.Witness
+	keeperID fleet.NodeID
+	running  []request
 	// waiting were refused and not given up.
 	waiting []request
 	// cutOff parts the host from control, lonely from the other hosts too.
@@ -74,6 +77,9 @@
 	for i := range hosts {
 		h := &host{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)}
 		w.hosts = append(w.hosts, h)
+		if i < 2 {
+			w.wipe(h)
+		}
 		w.start(h)
 	}
 	return w
@@ -94,6 +100,33 @@
 	h.witness = quota.NewWitness(h.id)
 }
 
+// wipe gives a host a new, empty disk.
+func (w *world) wipe(h *host) {
+	w.lives++
+	h.keeperID = fleet.NodeID(fmt.Sprint("keeper-", w.lives))
+	h.keeper = quota.NewWitness(h.keeperID)
+}
+
+func (w *world) stepWipe(t *rapid.T) {
+	if h := w.pick(t, "host"); h.keeper != nil && !h.alive {
+		w.wipe(h)
+	}
+}
+
+// stepKillAll ends all nodes, and starts them again after a while.
+func (w *world) stepKillAll(t *rapid.T) {
+	for _, h := range w.hosts {
+		w.kill(h)
+	}
+	w.net = nil
+	w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{100, 600, 1500, 4000}).Draw(t, "ms")) * time.Millisecond)
+	w.ledger.Tick(w.stamp())
+	for _, h := range w.hosts {
+		h.cutOff, h.lonely = false, false
+		w.start(h)
+	}
+}
+
 func (w *world) send(f func()) { w.net = append(w.net, message{f}) }
 
 func (w *world) pick(t *rapid.T, label string) *host {
@@ -196,13 +229,16 @@
 }
 
 func (w *world) state(h *host) {
-	var others []fleet.NodeID
+	var others, keepers []fleet.NodeID
 	for _, o := range w.hosts {
 		if o != h && o.alive {
 			others = append(others, o.id)
 		}
+		if o.keeper != nil && o.alive {
+			keepers = append(keepers, o.keeperID)
+		}
 	}
-	h.holder.SetWitnesses(others[:min(len(others), 3)])
+	h.holder.SetWitnesses(others[:min(len(others), 3)], keepers)
 	s := h.holder.Statement(w.now)
 	holder, sentAt := h.holder, w.now
 	w.send(func() {
@@ -245,10 +281,15 @@
 		return e, true
 	}
 	life := *w.ledger.Holders[id]
+	gap := w.now.Sub(life.Sure.At) - s.Age
 	if !life.Sure.At.IsZero() {
-		e.Timed, e.Opening = true, w.opts.Opening(w.now.Sub(life.Sure.At)-s.Age)
+		kept, verdict := life.JudgeKept(w.keepersWords(life, id))
+		if verdict == quota.Open && s.Age <= time.Second {
+			return e, false
+		}
+		e = w.opts.ByTime(gap, kept, verdict)
 	}
-	if e.Timed && e.Opening.Mark == 0 {
+	if e.Timed && gap <= w.opts.OpenAfter {
 		return e, true
 	}
 	var verdict quota.Verdict
@@ -260,6 +301,22 @@
 	return e, true
 }
 
+// keepersWords asks the keepers that control can reach. A disk that was replaced
+// answers for none of them.
+func (w *world) keepersWords(life quota.Life, id fleet.NodeID) []quota.Testimony {
+	var words []quota.Testimony
+	for _, k := range life.Keepers {
+		i := slices.IndexFunc(w.hosts, func(h *host) bool { return h.keeperID == k })
+		switch {
+		case i < 0:
+			words = append(words, quota.Testimony{})
+		case w.hosts[i].alive && !w.hosts[i].cutOff:
+			words = append(words, w.hosts[i].keeper.Peek(k, id))
+		}
+	}
+	return words
+}
+
 // stepEndSilent ends a holder that has been silent, as a leader does: its
 // witnesses are asked first, and the ending arrives later.
 func (w *world) stepEndSilent(t *rapid.T) {
@@ -317,18 +374,18 @@
 
 // raise has a holder's marks recorded by its witnesses.
 func (w *world) raise(h *host) {
-	r, lists, wanted := h.holder.Raise(w.now)
+	r, witnesses, keepers, wanted := h.holder.Raise(w.now)
 	if !wanted {
 		return
 	}
 	holder := h.holder
 	acked := map[fleet.NodeID]bool{}
-	for _, id := range slices.Compact(slices.Sorted(slices.Values(slices.Concat(lists...)))) {
+	for _, id := range slices.Concat(witnesses, keepers) {
 		r := r
 		r.Witness = id
 		w.send(func() {
-			o := w.byID(id)
-			if o == nil || h.lonely || o.lonely || !o.witness.Raise(r) {
+			o := w.witness(id)
+			if o == nil || h.lonely || o.host.lonely || !o.Raise(r) {
 				return
 			}
 			w.send(func() {
@@ -341,6 +398,26 @@
 	}
 }
 
+// hosted is a witness or keeper with its host.
+type hosted struct {
+	*quota.Witness
+	host *host
+}
+
+// witness finds a witness or keeper whose host is up.
+func (w *world) witness(id fleet.NodeID) *hosted {
+	for _, h := range w.hosts {
+		switch {
+		case !h.alive:
+		case h.id == id:
+			return &hosted{h.witness, h}
+		case h.keeperID == id:
+			return &hosted{h.keeper, h}
+		}
+	}
+	return nil
+}
+
 // stepBorrow lends tokens of one node to another one; the answer may be lost.
 func (w *world) stepBorrow(t *rapid.T) {
 	from, to := w.pick(t, "lender"), w.pick(t, "borrower")
@@ -363,15 +440,6 @@
 	})
 }
 
-func (w *world) byID(id fleet.NodeID) *host {
-	for _, h := range w.hosts {
-		if h.alive && h.id == id {
-			return h
-		}
-	}
-	return nil
-}
-
 // stepDeliver delivers a message, and may keep it for later again.
 func (w *world) stepDeliver(t *rapid.T) {
 	if len(w.net) == 0 {
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -19,8 +20,9 @@
 	// elapsedTimeout bounds asking other nodes.
 	elapsedTimeout = 200 * time.Millisecond
 	// decideWithin is the age of a newcomer up to which it waits for those who
-	// know more of its predecessor.
-	decideWithin = 3 * time.Second
+	// know more of its predecessor, keepersWithin where only the keepers do.
+	decideWithin  = 3 * time.Second
+	keepersWithin = 1500 * time.Millisecond
 )
 
 // Times of ending holders that are silent.
@@ -50,10 +52,10 @@
 }
 
 func (h *Host) endHolder(r replaced) {
-	if raised, verdict := r.life.Judge(h.testimonies(r, peek)); verdict != quota.Settled || len(raised) > 0 {
+	if raised, verdict := r.life.Judge(h.ask(r.witnesses, r.id, peek)); verdict != quota.Settled || len(raised) > 0 {
 		return
 	}
-	raised, verdict := r.life.Judge(h.testimonies(r, fence))
+	raised, verdict := r.life.Judge(h.ask(r.witnesses, r.id, fence))
 	if verdict != quota.Settled {
 		return
 	}
@@ -75,6 +77,33 @@
 	return out
 }
 
+// KeeperID names the witness on a control host's disk.
+func KeeperID(m raft.MemberID) fleet.NodeID {
+	return fleet.NodeID(fmt.Sprintf("keeper-%016x", uint64(m)))
+}
+
+// keepersOf finds the addresses of a holder's keepers; that of one which is no
+// member any more is not valid. Loop only.
+func (h *Host) keepersOf(life quota.Life) map[fleet.NodeID]netip.AddrPort {
+	out := map[fleet.NodeID]netip.AddrPort{}
+	for _, k := range life.Keepers {
+		out[k] = netip.AddrPort{}
+	}
+	for _, m := range h.machine.Status().Members.Members {
+		if _, ok := out[KeeperID(m.ID)]; ok {
+			out[KeeperID(m.ID)] = m.Addr
+		}
+	}
+	return out
+}
+
+// HolderEnded tells whether the ledger has ended a holder, as far as is known here.
+func (h *Host) HolderEnded(id fleet.NodeID) bool {
+	ended := false
+	h.view(func(time.Time) { ended = h.state.Quota.Ended(id) })
+	return ended
+}
+
 // Quota takes in a holder's statement on its allowances.
 func (s *Service) Quota(args *quota.Statement, reply *wire.QuotaReply) error {
 	h, err := s.running()
@@ -105,8 +134,8 @@
 	leading bool
 	// clear is set where last is known.
 	clear bool
-	// witnesses are the addresses of the holder's witnesses.
-	witnesses map[fleet.NodeID]netip.AddrPort
+	// witnesses and keepers are the addresses of the holder's.
+	witnesses, keepers map[fleet.NodeID]netip.AddrPort
 }
 
 // replaces finds the holder that a statement's holder replaces.
@@ -124,7 +153,7 @@
 		r.now = h.steady()
 		r.leading = h.machine.Status().Role == raft.Leader
 		r.mine = r.leading && r.life.Sure.Term == h.machine.HardState().Term
-		r.witnesses = h.witnessesOf(r.life)
+		r.witnesses, r.keepers = h.witnessesOf(r.life), h.keepersOf(r.life)
 	})
 	return r, ok
 }
@@ -145,18 +174,25 @@
 	}
 	gap, known := h.gap(r)
 	gap -= st.Age + bootTime() - arrived
-	e.Timed, e.Opening = known, h.deps.Quota.Opening(gap)
-	verdict := quota.Open
-	var words []quota.Testimony
-	if !known || gap > h.deps.Quota.OpenAfter {
-		words = h.testimonies(r, fence)
-		e.Raised, verdict = r.life.Judge(words)
-		e.Witnessed = verdict == quota.Settled
+	if known && gap <= h.deps.Quota.OpenAfter {
+		return h.deps.Quota.ByTime(gap, nil, quota.Unproven), true
 	}
-	soon := known && gap < h.deps.Quota.CutOff
-	if !soon && st.Age < decideWithin && (verdict == quota.Open || (verdict == quota.Unproven && !known)) {
-		return quota.Evidence{}, false
+	words := h.ask(r.witnesses, r.id, fence)
+	raised, verdict := r.life.Judge(words)
+	var kept map[string]quota.Tokens
+	if verdict != quota.Settled {
+		var keepers quota.Verdict
+		kept, keepers = r.life.JudgeKept(h.ask(r.keepers, r.id, peek))
+		if known && keepers == quota.Open && st.Age < keepersWithin || !known && st.Age < decideWithin {
+			return quota.Evidence{}, false
+		}
+		if known {
+			e = h.deps.Quota.ByTime(gap, kept, keepers)
+		}
+	} else if known {
+		e = h.deps.Quota.ByTime(gap, nil, quota.Unproven)
 	}
+	e.Witnessed, e.Raised = verdict == quota.Settled, raised
 	h.log.Info("control: a holder of budgets is replaced", zap.String("holder", string(r.id)),
 		zap.String("by", string(st.Holder)), zap.Stringer("addr", st.Addr), zap.Bool("gap_known", known),
 		zap.Duration("gap", gap), zap.Duration("age", st.Age), zap.Duration("unsure", r.life.Last.At.Sub(r.life.Sure.At)),
@@ -183,16 +219,17 @@
 	peek  = true
 )
 
-// testimonies asks the witnesses of a holder, and returns the words of those that
-// answer.
-func (h *Host) testimonies(r replaced, peek bool) []quota.Testimony {
+// ask asks the witnesses of a holder, and returns the words of those that answer.
+// One whose address is not known any more has lost its records.
+func (h *Host) ask(witnesses map[fleet.NodeID]netip.AddrPort, holder fleet.NodeID, peek bool) []quota.Testimony {
 	ctx, cancel := context.WithTimeout(context.Background(), elapsedTimeout)
 	defer cancel()
-	replies := make(chan *quota.Testimony, len(r.witnesses))
-	for id, addr := range r.witnesses {
+	replies := make(chan *quota.Testimony, len(witnesses))
+	for id, addr := range witnesses {
 		go func() {
 			var t quota.Testimony
-			if err := h.deps.Pool.Call(ctx, addr, "Node.Fence", &wire.FenceArgs{Witness: id, Holder: r.id, Peek: peek}, &t); err != nil {
+			args := &wire.FenceArgs{Witness: id, Holder: holder, Peek: peek}
+			if addr.IsValid() && h.deps.Pool.Call(ctx, addr, "Node.Fence", args, &t) != nil {
 				replies <- nil
 				return
 			}
@@ -200,7 +237,7 @@
 		}()
 	}
 	var words []quota.Testimony
-	for range r.witnesses {
+	for range witnesses {
 		if t := <-replies; t != nil {
 			words = append(words, *t)
 		}
--- /dev/null
+++ b/io/disk/journal_test.go
@@ -0,0 +1,88 @@
+package disk_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"dotterelgap/io/disk"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// records opens a journal and reads all of it.
+func records(fsys disk.FS) (j *disk.Journal, got []string, err error) {
+	j, err = disk.OpenJournal(fsys, dir, "witness", func(p []byte) error {
+		got = append(got, string(p))
+		return nil
+	})
+	return j, got, err
+}
+
+// TestJournalCrashes appends, replaces and crashes. The oracle: what was
+// acknowledged is there, and what was being written is there whole or not at all.
+func TestJournalCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMemFS()
+		j, want, err := records(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		crash := func(t *rapid.T, maybe []string) {
+			m.crash(rapid.IntRange(0, 40).Draw(t, "tear"), rapid.Bool().Draw(t, "garble"), rapid.Bool().Draw(t, "names last"))
+			var got []string
+			if j, got, err = records(m); err != nil {
+				t.Fatal(err)
+			}
+			if !slices.Equal(got, want) && !slices.Equal(got, maybe) {
+				t.Fatalf("got %q, want %q or %q", got, want, maybe)
+			}
+			want = got
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"append": func(t *rapid.T) {
+				r := rapid.StringN(1, 30, 30).Draw(t, "record")
+				if err := j.Append([]byte(r)); err != nil {
+					t.Fatal(err)
+				}
+				want = append(want, r)
+			},
+			"replace": func(t *rapid.T) {
+				want = want[:len(want)/2]
+				var payloads [][]byte
+				for _, r := range want {
+					payloads = append(payloads, []byte(r))
+				}
+				if err := j.Replace(payloads); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"crash": func(t *rapid.T) { crash(t, want) },
+			"crash in append": func(t *rapid.T) {
+				r := rapid.StringN(1, 30, 30).Draw(t, "record")
+				m.failSync = true
+				if j.Append([]byte(r)) == nil || j.Append([]byte("x")) == nil {
+					t.Fatal("a journal whose sync failed takes records")
+				}
+				m.failSync = false
+				crash(t, append(slices.Clone(want), r))
+			},
+		})
+	})
+}
+
+// Damage before the end is refused, since a record that was acknowledged is lost.
+func TestJournalDamage(t *testing.T) {
+	is := is.New(t)
+	m := newMemFS()
+	j, _, err := records(m)
+	is.NoErr(err)
+	is.NoErr(j.Append([]byte("first")))
+	is.NoErr(j.Append([]byte("second")))
+	m.names[dir+"/witness"].data[9] ^= 1
+	_, _, err = records(m)
+	var damaged *disk.DamageError
+	is.True(errors.As(err, &damaged))
+	is.Equal(damaged.Offset, int64(0))
+}
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelgap/core/fleet"
@@ -39,6 +41,8 @@
 	holder *quota.Holder
 	// witness knows of other nodes' holders.
 	witness *quota.Witness
+	// keeper is the witness on this node's disk, or nil.
+	keeper atomic.Pointer[keeper]
 	// changed is closed with the next answer of control or record of a witness.
 	changed chan struct{}
 }
@@ -195,14 +199,18 @@
 // none, nobody's word is needed, and all that was granted is billed if this node
 // dies in a cut.
 func (b *budgets) setWitnesses(alive []fleet.Peer) {
-	var ids []fleet.NodeID
+	var ids, keepers []fleet.NodeID
 	for _, p := range alive {
 		if p.Addr != b.n.self && !p.Disk && !p.Draining {
 			ids = append(ids, p.ID)
 		}
+		if p.Keeper != "" {
+			keepers = append(keepers, p.Keeper)
+		}
 	}
 	ids = fleet.Rendezvous(b.n.self.String(), ids)
+	slices.Sort(keepers)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holder.SetWitnesses(ids[:min(len(ids), maxWitnesses)])
+	b.holder.SetWitnesses(ids[:min(len(ids), maxWitnesses)], keepers)
 }
--- a/io/node/host.go
+++ b/io/node/host.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"dotterelgap/core/fleet"
 	"dotterelgap/core/raft"
 	"dotterelgap/io/ctrl"
 	"dotterelgap/io/disk"
@@ -72,6 +73,7 @@
 		r.service.Set(nil)
 		_ = h.Close()
 	}()
+	defer r.keep(f, h)()
 	joining, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.n.wg.Go(func() {
@@ -88,6 +90,22 @@
 	}
 }
 
+// keep runs the folder's keeper; the returned function ends it.
+func (r *hostRunner) keep(f ctrl.Folder, h *ctrl.Host) func() {
+	k, err := openKeeper(r.n.log, disk.OS(), r.n.deps.DataDir, f.Identity.Member, h.HolderEnded)
+	if err != nil {
+		r.n.log.Error("node: this host can't record what holders spend", zap.Error(err))
+		return func() {}
+	}
+	r.n.budgets.keeper.Store(k)
+	r.n.mesh.Update(true, func(p *fleet.Peer) { p.Keeper = k.id })
+	return func() {
+		r.n.budgets.keeper.Store(nil)
+		r.n.mesh.Update(true, func(p *fleet.Peer) { p.Keeper = "" })
+		k.close()
+	}
+}
+
 // open opens the data folder, or makes one: by a founder at the very first start,
 // else for a new member.
 func (r *hostRunner) open(ctx context.Context) (ctrl.Folder, error) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -188,10 +188,11 @@
 	n.catchUp(ctx, alive)
 }
 
-// addrOf is the internal address of a live node, or the zero address.
+// addrOf is the internal address of a live node, by its id or its keeper's, or the
+// zero address.
 func (n *Node) addrOf(id fleet.NodeID) netip.AddrPort {
 	for _, p := range n.mesh.Alive() {
-		if p.ID == id {
+		if p.ID == id || p.Keeper == id {
 			return p.Addr
 		}
 	}
--- a/io/node/raise.go
+++ b/io/node/raise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dotterelgap/core/fleet"
@@ -17,6 +18,8 @@
 	raiseTimeout = 300 * time.Millisecond
 	// raisePause is the time after a raise that too few witnesses recorded.
 	raisePause = 50 * time.Millisecond
+	// keeperWait is how long a keeper is waited for once the witnesses have answered.
+	keeperWait = 20 * time.Millisecond
 )
 
 // raiseMarks has the holder's marks recorded by its witnesses while control does
@@ -44,37 +47,63 @@
 }
 
 // raiseOnce asks the witnesses once, if that is wanted. It returns false if too few
-// recorded it.
+// recorded it. Keepers that are slow are not waited for.
 func (b *budgets) raiseOnce(ctx context.Context) bool {
 	b.mu.Lock()
-	r, lists, wanted := b.holder.Raise(time.Now())
+	r, witnesses, keepers, wanted := b.holder.Raise(time.Now())
 	b.mu.Unlock()
 	if !wanted {
 		return true
 	}
-	asked := map[fleet.NodeID]bool{}
-	for _, list := range lists {
-		for _, id := range list {
-			asked[id] = true
-		}
-	}
+	asked := slices.Concat(witnesses, keepers)
 	acks := make(chan ack, len(asked))
-	for id := range asked {
-		// Not one of the loop's: a slow witness is not waited for.
+	for _, id := range asked {
 		b.n.wg.Go(func() { acks <- b.askWitness(ctx, id, r) })
 	}
+	recorded := make(chan struct{})
+	done := make(chan struct{})
+	b.n.wg.Go(func() {
+		defer close(done)
+		b.collect(r, len(asked), acks, recorded)
+	})
+	select {
+	case <-done:
+	case <-recorded:
+		select {
+		case <-done:
+		case <-time.After(keeperWait):
+		}
+		return true
+	}
+	select {
+	case <-recorded:
+		return true
+	default:
+		b.n.log.Info("node: too few witnesses have recorded what may be spent", zap.Int("asked", len(asked)))
+		return false
+	}
+}
+
+// collect takes in the answers to a raise until all of it is in force or no other
+// can come. recorded is closed once enough witnesses have it.
+func (b *budgets) collect(r quota.Raise, asked int, acks <-chan ack, recorded chan<- struct{}) {
 	acked := map[fleet.NodeID]bool{}
+	enough := false
 	for range asked {
-		if a := <-acks; a.ok {
-			acked[a.witness] = true
+		a := <-acks
+		if !a.ok {
+			continue
 		}
-		if b.recorded(r, acked) {
-			return true
+		acked[a.witness] = true
+		witnessed, kept := b.recorded(r, acked)
+		if witnessed && !enough {
+			enough = true
+			close(recorded)
+		}
+		if witnessed && kept {
+			return
 		}
 	}
-	b.n.log.Info("node: too few witnesses have recorded what may be spent", zap.Int("asked", len(asked)),
-		zap.Int("recorded", len(acked)))
-	return false
 }
 
 func (b *budgets) askWitness(ctx context.Context, id fleet.NodeID, r quota.Raise) ack {
@@ -86,19 +115,23 @@
 	return ack{witness: id, ok: err == nil && ok}
 }
 
-func (b *budgets) recorded(r quota.Raise, acked map[fleet.NodeID]bool) bool {
+func (b *budgets) recorded(r quota.Raise, acked map[fleet.NodeID]bool) (recorded, kept bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.holder.Recorded(r, acked) {
-		return false
+	recorded, kept = b.holder.Recorded(r, acked)
+	if recorded {
+		b.announce()
 	}
-	b.announce()
-	return true
+	return recorded, kept
 }
 
 // Raise records what another node may spend.
 func (s *Service) Raise(args *quota.Raise, ok *bool) error {
 	b := s.n.budgets
+	if k := b.keeper.Load(); k != nil && args.Witness == k.id {
+		*ok = k.raise(*args)
+		return nil
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	*ok = b.witness.Raise(*args)
@@ -108,6 +141,10 @@
 // Fence tells about the raises of a holder, and may refuse further ones.
 func (s *Service) Fence(args *wire.FenceArgs, reply *quota.Testimony) error {
 	b := s.n.budgets
+	if k := b.keeper.Load(); k != nil && args.Witness == k.id {
+		*reply = k.peek(args.Witness, args.Holder)
+		return nil
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if args.Peek {
