Count an overdue first token towards an engine's believed wait

Change: each node keeps when the first tokens of its requests are due; the longest overdue one adds to the engine's believed wait until it comes or the request ends. Test: TestOverdueEngineIsAvoided.

--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -259,19 +259,20 @@
 	return best
 }
 
-// Started notes that a request goes to the chosen upstream, and returns what the
-// other nodes should know of it.
-func (b *Balancer) Started(now time.Time, q Query, c Choice) (n Notice, tell bool) {
+// Started notes that a request goes to the chosen upstream, and returns the choice
+// with its ticket, and what the other nodes should know of it.
+func (b *Balancer) Started(now time.Time, q Query, c Choice) (started Choice, n Notice, tell bool) {
 	t, ok := b.targets[c.Upstream.ID]
 	if !ok {
-		return Notice{}, false
+		return c, Notice{}, false
 	}
 	t.inFlight++
 	if len(q.Parts) == 0 {
-		return Notice{}, false
+		return c, Notice{}, false
 	}
+	c.Ticket = t.expect(now.Add(readOverhead + c.Wait + t.reading(c.Uncached)))
 	t.sent(now, q.Parts, c.Uncached)
-	return Notice{Upstream: t.hash, Uncached: c.Uncached, Parts: q.Parts}, len(q.Parts) <= maxNoticeParts
+	return c, Notice{Upstream: t.hash, Uncached: c.Uncached, Parts: q.Parts}, len(q.Parts) <= maxNoticeParts
 }
 
 // FirstToken learns from the time to a first token.
@@ -280,16 +281,18 @@
 	if !ok || c.Rank < 0 {
 		return
 	}
+	t.settle(c.Ticket)
 	t.observe(readOverhead+c.Wait+t.reading(c.Uncached), took)
 }
 
 // Ended notes how an attempt went. An upstream that fails again and again is left
 // out for a while, unless too many are left out already.
-func (b *Balancer) Ended(now time.Time, id string, o Outcome) {
-	t, ok := b.targets[id]
+func (b *Balancer) Ended(now time.Time, c Choice, o Outcome) {
+	t, ok := b.targets[c.Upstream.ID]
 	if !ok {
 		return
 	}
+	t.settle(c.Ticket)
 	t.inFlight = max(t.inFlight-1, 0)
 	switch o {
 	case Served:
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -66,4 +66,6 @@
 	Uncached int
 	Wait     time.Duration
 	Slow     float64
+	// Ticket names the first token that is expected; 0 if none is.
+	Ticket uint64
 }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -26,6 +26,8 @@
 	return out
 }
 
+func choice(id string) sched.Choice { return sched.Choice{Upstream: fleet.Upstream{ID: id}, Rank: -1} }
+
 func noMemory(string) int { return 0 }
 
 func newBalancer(n int) *sched.Balancer {
@@ -48,7 +50,7 @@
 	q := prompt("plan", "session-1", "r1")
 	first, ok := a.Pick(start, q)
 	is.True(ok)
-	n, tell := a.Started(start, q, first)
+	_, n, tell := a.Started(start, q, first)
 	is.True(tell)
 	b.OnNotice(start, n)
 	later := start.Add(time.Second)
@@ -102,7 +104,7 @@
 		at := nodes[i%7]
 		q := prompt(fmt.Sprint("p", i), fmt.Sprint("s", i), "r")
 		c, _ := at.Pick(start, q)
-		n, _ := at.Started(start, q, c)
+		_, n, _ := at.Started(start, q, c)
 		used[c.Upstream.ID]++
 		for _, other := range nodes {
 			if other != at {
@@ -127,14 +129,14 @@
 	for i := range 300 {
 		q := prompt(fmt.Sprint("p", i), fmt.Sprint("s", i), "r")
 		c, _ := b.Pick(now, q)
-		b.Started(now, q, c)
+		c, _, _ = b.Started(now, q, c)
 		used[c.Upstream.ID]++
 		took := 50*time.Millisecond + c.Wait + 300*time.Millisecond
 		if c.Upstream.ID == "model-1" {
 			took *= 5
 		}
 		b.FirstToken(c, took)
-		b.Ended(now, c.Upstream.ID, sched.Served)
+		b.Ended(now, c, sched.Served)
 		now = now.Add(100 * time.Millisecond)
 	}
 	is.True(used["model-1"]*3 < used["model-0"])
@@ -148,8 +150,8 @@
 	b.SetUpstreams(upstreams("desk", 3), noMemory)
 	q := sched.Query{Service: "desk"}
 	for range 2 {
-		b.Ended(start, "desk-0", sched.Failed)
-		b.Ended(start, "desk-1", sched.Failed)
+		b.Ended(start, choice("desk-0"), sched.Failed)
+		b.Ended(start, choice("desk-1"), sched.Failed)
 	}
 	seen := map[string]bool{}
 	for range 20 {
@@ -247,3 +249,25 @@
 	}
 	return n
 }
+
+// An engine that does not give a first token when it is due is busy with what this
+// node does not know of, or silent: a session leaves it until the token comes.
+func TestOverdueEngineIsAvoided(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(3)
+	q := prompt("plan", "session-1", "r1")
+	home, _ := b.Pick(start, q)
+	home, _, _ = b.Started(start, q, home)
+	soon := start.Add(300 * time.Millisecond)
+	c, _ := b.Pick(soon, q)
+	is.Equal(c.Upstream.ID, home.Upstream.ID) // not due yet
+	late := start.Add(2 * time.Second)
+	c, _ = b.Pick(late, q)
+	is.True(c.Upstream.ID != home.Upstream.ID)
+	b.FirstToken(home, 2*time.Second)
+	b.Ended(late, home, sched.Served)
+	other, _, _ := b.Started(late, q, home)
+	b.Ended(late, other, sched.Canceled) // nothing is due any more
+	c, _ = b.Pick(late.Add(time.Second), q)
+	is.Equal(c.Upstream.ID, home.Upstream.ID)
+}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"dotterelgap/core/fleet"
@@ -43,7 +44,11 @@
 	work   time.Duration
 	workAt time.Time
 	// slow is how much longer first tokens take than believed.
-	slow     float64
+	slow float64
+	// due holds when the first tokens of this node's requests are expected that have
+	// not come yet, by ticket.
+	due      []pending
+	tickets  uint64
 	failures int
 	ejected  int
 	// outUntil is when an upstream that was left out may be tried again.
@@ -58,11 +63,40 @@
 	return &target{up: u, hash: xxhash.Sum64String(u.ID), cache: newCache(capacity), slow: 1}
 }
 
-// wait is the time until the engine has read all that was sent to it.
-func (t *target) wait(now time.Time) time.Duration {
+// pending is a request whose first token has not come yet.
+type pending struct {
+	ticket uint64
+	at     time.Time
+}
+
+// backlog is the time that the engine needs for what is known to have been sent.
+func (t *target) backlog(now time.Time) time.Duration {
 	return max(t.work-now.Sub(t.workAt), 0)
 }
 
+// wait is the time until the engine has read all that was sent to it. An engine
+// that is late with a first token is behind by that much at least: others send to
+// it too, or it is slow.
+func (t *target) wait(now time.Time) time.Duration {
+	w := t.backlog(now)
+	for _, p := range t.due {
+		w = max(w, t.backlog(now)+now.Sub(p.at))
+	}
+	return w
+}
+
+// expect notes when a first token is due, and returns the ticket to end that.
+func (t *target) expect(at time.Time) uint64 {
+	t.tickets++
+	t.due = append(t.due, pending{t.tickets, at})
+	return t.tickets
+}
+
+// settle forgets a first token that has come, or will not.
+func (t *target) settle(ticket uint64) {
+	t.due = slices.DeleteFunc(t.due, func(p pending) bool { return p.ticket == ticket })
+}
+
 // reading is the time that the engine takes to read tokens.
 func (t *target) reading(tokens int) time.Duration {
 	return time.Duration(t.slow * float64(tokens) / readRate * float64(time.Second))
@@ -70,7 +104,7 @@
 
 // sent notes that a prompt went to the engine.
 func (t *target) sent(now time.Time, parts []PartKey, uncached int) {
-	t.work = t.wait(now) + t.reading(uncached)
+	t.work = t.backlog(now) + t.reading(uncached)
 	t.workAt = now
 	t.cache.use(parts)
 }
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -216,7 +216,7 @@
 	c.tried = append(c.tried, u.ID)
 	c.choice, c.sent = choice, began
 	v := c.attempt(ctx, u)
-	c.f.ended(u.ID, v.outcome)
+	c.f.ended(choice, v.outcome)
 	c.f.metrics.attempt(v.outcome)
 	t := try{
 		upstream: u.ID, addr: u.Addr.String(), choice: choice, outcome: v.outcome, status: v.status,
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -187,7 +187,8 @@
 	if !ok {
 		return c, false
 	}
-	if n, tell := f.balancer.Started(now, q, c); tell {
+	c, n, tell := f.balancer.Started(now, q, c)
+	if tell {
 		f.deps.Tell(n)
 	}
 	return c, true
@@ -207,8 +208,8 @@
 	f.balancer.FirstToken(c, took)
 }
 
-func (f *Front) ended(id string, o sched.Outcome) {
+func (f *Front) ended(c sched.Choice, o sched.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.balancer.Ended(time.Now(), id, o)
+	f.balancer.Ended(time.Now(), c, o)
 }
