Try again to connect where the first packet may be lost

Ruled out: the election (0.2 s), the keepers' words (waited for later). Change: attempts of 200, 400, ... ms within the dial's time. Test: TestDialAgain.

--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -182,7 +182,7 @@
 func (p *Pool) dial(addr netip.AddrPort) (*client, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	raw, err := DialContext(ctx, addr, p.tls)
+	raw, err := dialAgain(ctx, firstDial, func(ctx context.Context) (net.Conn, error) { return DialContext(ctx, addr, p.tls) })
 	if err != nil {
 		return nil, err
 	}
@@ -205,6 +205,25 @@
 	return &client{Client: rpc.NewClient(conn), conn: conn}, nil
 }
 
+// firstDial is how long the first attempt to connect may take. An opening packet
+// that is lost, as by a host that has no power yet, is sent again by the system only
+// after a second.
+const firstDial = 200 * time.Millisecond
+
+// dialAgain tries to connect until ctx ends, each attempt for twice as long as the
+// one before. Other errors than time running out end it.
+func dialAgain(ctx context.Context, first time.Duration, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	for limit := first; ; limit *= 2 {
+		try, cancel := context.WithTimeout(ctx, limit)
+		conn, err := dial(try)
+		expired := try.Err() != nil
+		cancel()
+		if err == nil || !expired || ctx.Err() != nil {
+			return conn, err
+		}
+	}
+}
+
 // DialContext opens a connection to another process of the system.
 func DialContext(ctx context.Context, addr netip.AddrPort, cfg *tls.Config) (net.Conn, error) {
 	var d net.Dialer
