Let budgets of many holders be used in a cut

Four causes, each seen in the log lines: keepers got 500 raises a second and sync 200; a prompt of 10,000 tokens needs parts of more nodes than were asked one after the other; what was granted opened over 5 s; and nothing was granted ahead once less than two large requests per holder were left (576,000 tokens with 16 holders). Ruled out: witnesses out of reach (0 raises failed).

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -21,8 +22,8 @@
 	horizon = 40
 	// recallAbove is how far above its fair part a holder is asked to give back.
 	recallAbove = 1.3
-	// tightRequests is the number of the largest requests per holder below which
-	// nothing is handed out ahead of need, since parts would be too small to use.
+	// tightRequests is the number of the largest requests that a part must cover, or
+	// it would be too small to be of use.
 	tightRequests = 2
 	// shortFor is how long an unmet need makes the others give back.
 	shortFor = 500 * time.Millisecond
@@ -269,7 +270,7 @@
 		return Allowance{Customer: u.Customer}
 	}
 	unused := a.unused()
-	fair := l.fair(now, a, r, unused)
+	fair := l.fair(now, a, id, unused)
 	if fresh {
 		more := min(max(fair, u.Need)-(r.Granted-r.Used), a.Paid-a.committed())
 		r.Granted += max(more, 0)
@@ -304,35 +305,53 @@
 }
 
 // fair is what a holder should have ahead of what is in use: its part of the
-// demand, at most for the horizon, and nothing where parts would be too small.
-func (l *Ledger) fair(now time.Time, a *Account, r *Row, unused Tokens) Tokens {
-	total, n, largest := l.demand(now, a)
-	if n == 0 || unused < Tokens(n)*tightRequests*largest {
+// demand, at most for the horizon. Where not all parts would be large enough to be
+// of use, only the holders with the most demand have one.
+func (l *Ledger) fair(now time.Time, a *Account, id fleet.NodeID, unused Tokens) Tokens {
+	shares, largest := l.shares(now, a)
+	n := len(shares)
+	if largest > 0 {
+		n = min(n, int(unused/(tightRequests*largest)))
+	}
+	at := slices.IndexFunc(shares, func(s share) bool { return s.id == id })
+	if at < 0 || at >= n {
 		return 0
 	}
-	share := 1 / float64(n)
+	total := 0.0
+	for _, s := range shares[:n] {
+		total += s.rate
+	}
+	part := 1 / float64(n)
 	if total > 0 {
-		share = idleShare*share + (1-idleShare)*r.Rate/total
+		part = idleShare*part + (1-idleShare)*shares[at].rate/total
 	}
-	part := grantedShare * share * float64(unused)
+	tokens := grantedShare * part * float64(unused)
 	if total > 0 {
-		part = min(part, max(horizon*r.Rate, idleShare*part))
+		tokens = min(tokens, max(horizon*shares[at].rate, idleShare*tokens))
 	}
-	return max(Tokens(part), 0)
+	return max(Tokens(tokens), 0)
+}
+
+// share is one holder's demand of a customer.
+type share struct {
+	id   fleet.NodeID
+	rate float64
 }
 
-// demand adds up what the holders that speak have said of a customer.
-func (l *Ledger) demand(now time.Time, a *Account) (total float64, n int, largest Tokens) {
-	// In order, since the sum of floats depends on it and all replicas must agree.
-	for _, id := range slices.Sorted(maps.Keys(a.Rows)) {
+// shares lists the demand of the holders that speak, the largest first, and the
+// largest request of theirs. Its order is the same at all replicas, since sums of
+// floats depend on it.
+func (l *Ledger) shares(now time.Time, a *Account) (out []share, largest Tokens) {
+	out = make([]share, 0, len(a.Rows))
+	for id, r := range a.Rows {
 		if l.quiet(now, id) {
 			continue
 		}
-		n++
-		total += a.Rows[id].Rate
-		largest = max(largest, a.Rows[id].Largest)
+		out = append(out, share{id, r.Rate})
+		largest = max(largest, r.Largest)
 	}
-	return total, n, largest
+	slices.SortFunc(out, func(a, b share) int { return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(a.id, b.id)) })
+	return out, largest
 }
 
 func (l *Ledger) quiet(now time.Time, id fleet.NodeID) bool {
--- a/io/disk/journal.go
+++ b/io/disk/journal.go
@@ -60,12 +60,15 @@
 	return trace.Wrap(f.Truncate(j.size))
 }
 
-// Append adds a record. After an error the journal takes no more.
-func (j *Journal) Append(payload []byte) error {
+// Append adds records. After an error the journal takes no more.
+func (j *Journal) Append(payloads ...[]byte) error {
 	if j.failed != nil {
 		return j.failed
 	}
-	data := frame(payload)
+	var data []byte
+	for _, p := range payloads {
+		data = append(data, frame(p)...)
+	}
 	err := writeAll(j.file, data)
 	if err == nil {
 		err = j.file.Sync()
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -43,6 +43,8 @@
 	witness *quota.Witness
 	// keeper is the witness on this node's disk, or nil.
 	keeper atomic.Pointer[keeper]
+	// keptAt is when each witness last recorded something.
+	keptAt map[fleet.NodeID]time.Time
 	// changed is closed with the next answer of control or record of a witness.
 	changed chan struct{}
 }
@@ -50,6 +52,7 @@
 func newBudgets(n *Node, id fleet.NodeID) *budgets {
 	return &budgets{
 		n: n, state: make(chan struct{}, 1), raise: make(chan struct{}, 1), changed: make(chan struct{}),
+		keptAt: map[fleet.NodeID]time.Time{},
 		holder: quota.NewHolder(id, n.self, n.deps.Quota, time.Now()), witness: quota.NewWitness(id),
 	}
 }
--- a/io/node/keeper.go
+++ b/io/node/keeper.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"sync"
 
@@ -19,6 +20,8 @@
 	keeperFile = "raises"
 	// keeperSize is the size, in bytes, above which the file is written anew.
 	keeperSize = 256 << 10
+	// keeperQueue bounds the raises that wait to be written.
+	keeperQueue = 256
 )
 
 // keeper is a witness whose records are on the disk of a control host.
@@ -27,16 +30,31 @@
 	// ended tells whether the ledger has ended a holder, as far as is known here.
 	ended func(fleet.NodeID) bool
 
+	id fleet.NodeID
+	// entries are raises that wait to be written; several are synced at once.
+	entries chan entry
+	done    chan struct{}
+	cancel  context.CancelFunc
+
 	mu      sync.Mutex
-	id      fleet.NodeID
 	witness *quota.Witness
 	journal *disk.Journal
 }
 
+// entry is a raise that waits to be written; ok gets how that went.
+type entry struct {
+	raise quota.Raise
+	ok    chan bool
+}
+
 // openKeeper opens the keeper of a data folder.
 func openKeeper(log *zap.Logger, fsys disk.FS, dir string, member raft.MemberID, ended func(fleet.NodeID) bool) (*keeper, error) {
 	id := ctrl.KeeperID(member)
-	k := &keeper{log: log, id: id, witness: quota.NewWitness(id), ended: ended}
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &keeper{
+		log: log, id: id, witness: quota.NewWitness(id), ended: ended,
+		entries: make(chan entry, keeperQueue), done: make(chan struct{}), cancel: cancel,
+	}
 	var err error
 	k.journal, err = disk.OpenJournal(fsys, dir, keeperFile, func(payload []byte) error {
 		var r quota.Raise
@@ -49,26 +67,73 @@
 		k.witness.Raise(r)
 		return nil
 	})
-	return k, err
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	go func() {
+		defer close(k.done)
+		k.run(ctx)
+	}()
+	return k, nil
+}
+
+// run writes the entries that wait, all that there are with one sync, until ctx
+// ends.
+func (k *keeper) run(ctx context.Context) {
+	for {
+		var batch []entry
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-k.entries:
+			batch = append(batch, e)
+		}
+		for len(k.entries) > 0 {
+			batch = append(batch, <-k.entries)
+		}
+		k.write(batch)
+	}
 }
 
 // raise records a holder's marks on the disk.
 func (k *keeper) raise(r quota.Raise) bool {
+	e := entry{raise: r, ok: make(chan bool, 1)}
+	select {
+	case <-k.done:
+		return false
+	case k.entries <- e:
+	}
+	select {
+	case <-k.done:
+		return false
+	case ok := <-e.ok:
+		return ok
+	}
+}
+
+// write records a batch.
+func (k *keeper) write(batch []entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	payload, err := codec.Marshal(r)
-	if err == nil {
-		err = k.journal.Append(payload)
+	payloads := make([][]byte, 0, len(batch))
+	for _, e := range batch {
+		payload, err := codec.Marshal(e.raise)
+		if err != nil {
+			panic("node: a holder's raise can't be encoded: " + err.Error())
+		}
+		payloads = append(payloads, payload)
 	}
+	err := k.journal.Append(payloads...)
 	if err != nil {
-		k.log.Error("node: what a holder may spend can't be recorded", zap.String("holder", string(r.Holder)), zap.Error(err))
-		return false
+		k.log.Error("node: what holders may spend can't be recorded", zap.Int("raises", len(batch)), zap.Error(err))
+	}
+	for _, e := range batch {
+		e.ok <- err == nil && k.witness.Raise(e.raise)
 	}
-	ok := k.witness.Raise(r)
 	if k.journal.Size() > keeperSize {
 		k.compact()
 	}
-	return ok
 }
 
 // compact writes the file anew with the latest raise of each holder that lives.
@@ -78,8 +143,7 @@
 	for _, r := range k.witness.Raises() {
 		payload, err := codec.Marshal(r)
 		if err != nil {
-			k.log.Error("node: a holder's raise can't be encoded", zap.Error(err))
-			return
+			panic("node: a holder's raise can't be encoded: " + err.Error())
 		}
 		payloads = append(payloads, payload)
 	}
@@ -96,7 +160,7 @@
 }
 
 func (k *keeper) close() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	k.cancel()
+	<-k.done
 	_ = k.journal.Close()
 }
--- a/io/node/loan.go
+++ b/io/node/loan.go
@@ -3,38 +3,52 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"dotterelgap/core/quota"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 )
 
 // Bounds of loans between nodes.
 const (
-	// loanTimeout bounds asking one node, loanTries how many are asked.
+	// loanTimeout bounds asking one node, loanWave how many are asked at once,
+	// loanWaves how often.
 	loanTimeout = 80 * time.Millisecond
-	loanTries   = 6
+	loanWave    = 5
+	loanWaves   = 3
 	// lendWait is how long a lender waits for its witnesses.
 	lendWait = 40 * time.Millisecond
 )
 
 // borrow asks other nodes for tokens while control does not answer, and tells
-// whether it has enough for a request.
+// whether it has enough for a request. One node's part is often less than a long
+// prompt, so several are asked at once.
 func (b *budgets) borrow(ctx context.Context, customer string, worst quota.Tokens) bool {
-	for _, addr := range b.n.lenders(loanTries) {
-		b.mu.Lock()
-		r, wanted := b.holder.LoanWanted(customer, worst)
-		b.mu.Unlock()
+	for wave := range slices.Chunk(b.n.lenders(loanWave*loanWaves), loanWave) {
+		r, wanted := b.loanWanted(customer, worst)
 		if !wanted {
 			return true
 		}
-		b.ask(ctx, addr, r)
+		var g errgroup.Group
+		for _, addr := range wave {
+			g.Go(func() error {
+				b.ask(ctx, addr, r)
+				return nil
+			})
+		}
+		_ = g.Wait()
 	}
+	_, wanted := b.loanWanted(customer, worst)
+	return !wanted
+}
+
+func (b *budgets) loanWanted(customer string, worst quota.Tokens) (quota.LoanRequest, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, wanted := b.holder.LoanWanted(customer, worst)
-	return !wanted
+	return b.holder.LoanWanted(customer, worst)
 }
 
 // ask asks one node for a loan.
--- a/io/node/raise.go
+++ b/io/node/raise.go
@@ -20,6 +20,10 @@
 	raisePause = 50 * time.Millisecond
 	// keeperWait is how long a keeper is waited for once the witnesses have answered.
 	keeperWait = 20 * time.Millisecond
+	// askedKeepers is how many keepers are asked of those that have recorded
+	// something within nearFor.
+	askedKeepers = 2
+	nearFor      = time.Second
 )
 
 // raiseMarks has the holder's marks recorded by its witnesses while control does
@@ -55,7 +59,7 @@
 	if !wanted {
 		return true
 	}
-	asked := slices.Concat(witnesses, keepers)
+	asked := slices.Concat(witnesses, b.near(keepers))
 	acks := make(chan ack, len(asked))
 	for _, id := range asked {
 		b.n.wg.Go(func() { acks <- b.askWitness(ctx, id, r) })
@@ -84,6 +88,24 @@
 	}
 }
 
+// near returns the keepers that have recorded something lately, if there are some;
+// else all, since any may be out of reach.
+func (b *budgets) near(keepers []fleet.NodeID) []fleet.NodeID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var out []fleet.NodeID
+	for _, id := range keepers {
+		if len(out) < askedKeepers && now.Sub(b.keptAt[id]) < nearFor {
+			out = append(out, id)
+		}
+	}
+	if len(out) == 0 {
+		return keepers
+	}
+	return out
+}
+
 // collect takes in the answers to a raise until all of it is in force or no other
 // can come. recorded is closed once enough witnesses have it.
 func (b *budgets) collect(r quota.Raise, asked int, acks <-chan ack, recorded chan<- struct{}) {
@@ -95,7 +117,7 @@
 			continue
 		}
 		acked[a.witness] = true
-		witnessed, kept := b.recorded(r, acked)
+		witnessed, kept := b.recorded(r, acked, a.witness)
 		if witnessed && !enough {
 			enough = true
 			close(recorded)
@@ -115,9 +137,11 @@
 	return ack{witness: id, ok: err == nil && ok}
 }
 
-func (b *budgets) recorded(r quota.Raise, acked map[fleet.NodeID]bool) (recorded, kept bool) {
+// recorded takes in that another witness, the last one, has recorded a raise.
+func (b *budgets) recorded(r quota.Raise, acked map[fleet.NodeID]bool, last fleet.NodeID) (recorded, kept bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.keptAt[last] = time.Now()
 	recorded, kept = b.holder.Recorded(r, acked)
 	if recorded {
 		b.announce()
