--- /dev/null
+++ b/core/quota/leader_test.go
@@ -0,0 +1,130 @@
+package quota_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/quota"
+
+	"pgregory.net/rapid"
+)
+
+// book applies a statement as a leader does, and sends the answer back.
+func (w *world) book(h *host, holder *quota.Holder, s quota.Statement, _ time.Time) {
+	decided := false
+	if s.Replaced, decided = w.evidence(s); !decided {
+		return
+	}
+	answers := w.ledger.Apply(w.stamp(), s)
+	ended := w.ledger.Ended(s.Holder)
+	w.send(func() {
+		if h.cutOff || h.holder != holder || !h.alive {
+			return
+		}
+		if ended {
+			w.lives++
+			w.bury(holder)
+			holder.Renew(fleet.NodeID(fmt.Sprint("entry-", w.lives)))
+			return
+		}
+		holder.Answered(w.now, s.Seq, answers)
+	})
+}
+
+// evidence bounds what a replaced holder can have spent, as a leader does.
+func (w *world) evidence(s quota.Statement) (e quota.Evidence, decided bool) {
+	if _, known := w.ledger.Holders[s.Holder]; known {
+		return e, true
+	}
+	id, ok := w.ledger.EarlierAt(s.Addr, s.Holder)
+	if !ok {
+		return e, true
+	}
+	life := *w.ledger.Holders[id]
+	gap := w.now.Sub(life.Sure.At) - s.Age
+	if !life.Sure.At.IsZero() {
+		kept, verdict := life.JudgeKept(w.keepersWords(life, id))
+		if verdict == quota.Open && s.Age <= time.Second {
+			return e, false
+		}
+		e = w.opts.ByTime(gap, kept, verdict)
+	}
+	if e.Timed && gap <= w.opts.OpenAfter {
+		return e, true
+	}
+	var verdict quota.Verdict
+	e.Raised, verdict = life.Judge(w.testimonies(life, id, false))
+	e.Witnessed = verdict == quota.Settled
+	if !e.Timed && verdict == quota.Open && s.Age <= 3*time.Second {
+		return e, false
+	}
+	return e, true
+}
+
+// keepersWords asks the keepers that control can reach. A disk that was replaced
+// answers for none of them.
+func (w *world) keepersWords(life quota.Life, id fleet.NodeID) []quota.Testimony {
+	var words []quota.Testimony
+	for _, k := range life.Keepers {
+		i := slices.IndexFunc(w.hosts, func(h *host) bool { return h.keeperID == k })
+		switch {
+		case i < 0:
+			words = append(words, quota.Testimony{})
+		case w.hosts[i].alive && !w.hosts[i].cutOff:
+			words = append(words, w.hosts[i].keeper.Peek(k, id))
+		}
+	}
+	return words
+}
+
+// stepEndSilent ends a holder that has been silent, as a leader does: its
+// witnesses are asked first, and the ending arrives later.
+func (w *world) stepEndSilent(t *rapid.T) {
+	for _, id := range slices.Sorted(maps.Keys(w.ledger.Holders)) {
+		life := *w.ledger.Holders[id]
+		if life.Ended || w.now.Sub(life.Last.At) < w.opts.CutOff {
+			continue
+		}
+		peeked, verdict := life.Judge(w.testimonies(life, id, true))
+		if verdict != quota.Settled || (len(peeked) > 0 && rapid.Bool().Draw(t, "at work")) {
+			continue
+		}
+		raised, verdict := life.Judge(w.testimonies(life, id, false))
+		if verdict == quota.Settled {
+			e := quota.Evidence{Witnessed: true, Raised: raised}
+			w.send(func() { w.ledger.End(quota.Ending{Holder: id, Seq: life.Seq, Evidence: e}) })
+		}
+	}
+}
+
+// testimonies asks the witnesses that control can reach.
+func (w *world) testimonies(life quota.Life, id fleet.NodeID, peek bool) []quota.Testimony {
+	var words []quota.Testimony
+	for _, o := range w.hosts {
+		if o.alive && !o.cutOff && w.witnessAt(life, o) {
+			ask := o.witness.Fence
+			if peek {
+				ask = o.witness.Peek
+			}
+			words = append(words, ask(witnessOf(life, o, w), id))
+		}
+	}
+	return words
+}
+
+// witnessAt tells whether one of the life's witnesses was at a host's address.
+func (w *world) witnessAt(life quota.Life, o *host) bool {
+	return witnessOf(life, o, w) != ""
+}
+
+func witnessOf(life quota.Life, o *host, w *world) fleet.NodeID {
+	for _, id := range life.Witnesses {
+		if l, ok := w.ledger.Holders[id]; ok && l.Addr == o.addr {
+			return id
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/core/quota/raise_test.go
@@ -0,0 +1,227 @@
+package quota_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"dotterelgap/core/quota"
+
+	"github.com/matryer/is"
+)
+
+// Beyond its start a holder spends only what half of its witnesses have recorded,
+// as far as it has opened by then.
+func TestRaiseNeedsWitnesses(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3", "entry-4"}, nil)
+	p.exchange()
+	p.exchange()
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil) // no mark ahead without demand
+	p.now = p.now.Add(quota.DefaultOptions().CutOff)
+	_, _, _, wanted := p.holder.Raise(p.now)
+	is.True(!wanted) // there is nothing between start and mark
+	p.now = p.now.Add(quota.DefaultOptions().GrantOpens)
+	r, witnesses, _, wanted := p.holder.Raise(p.now)
+	is.True(wanted)
+	is.Equal(witnesses, []fleetID{"entry-2", "entry-3", "entry-4"})
+	is.Equal(r.Marks, map[string]quota.Tokens{"acme": 900})
+	is.True(!isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true, "entry-9": true}))
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	is.True(isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true, "entry-4": true}))
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	is.True(p.holder.Reserve(p.now, "r2", "acme", 900) != nil) // the record covers one of them
+}
+
+// A raise names what is used beyond the starts, also of customers that want nothing
+// more: at a witness it replaces the raises from before the latest answer.
+func TestRaiseNamesWhatIsUsed(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.ledger.SetPrepaid(map[string]quota.Tokens{"acme": 10_000, "multan": 10_000})
+	p.holder.SetCustomers(p.now, []string{"acme", "multan"})
+	p.holder.SetWitnesses([]fleetID{"entry-2"}, nil)
+	p.exchange()
+	s := p.holder.Statement(p.now) // its answer comes late
+	p.now = p.now.Add(cutOff)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	r, _, _, _ := p.holder.Raise(p.now)
+	is.True(isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true}))
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	p.holder.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+	p.now = p.now.Add(cutOff)
+	is.True(p.holder.Reserve(p.now, "r2", "multan", 300) != nil)
+	r, _, _, wanted := p.holder.Raise(p.now)
+	is.True(wanted)
+	is.Equal(r.Marks, map[string]quota.Tokens{"acme": 900, "multan": 300})
+}
+
+// While it is not known whether control knows the new witnesses or the old ones,
+// both lists must record a raise.
+func TestRaiseWithTwoLists(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2"}, nil)
+	p.exchange()
+	p.holder.SetWitnesses([]fleetID{"entry-3"}, nil)
+	p.holder.Lost(p.holder.Statement(p.now).Seq) // the answer is lost
+	p.holder.SetWitnesses([]fleetID{"entry-4"}, nil)
+	p.holder.Lost(p.holder.Statement(p.now).Seq)
+	p.now = p.now.Add(cutOff)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	r, witnesses, _, wanted := p.holder.Raise(p.now)
+	is.True(wanted)
+	is.Equal(witnesses, []fleetID{"entry-2", "entry-3"})
+	is.True(!isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true}))
+	is.True(!isRecorded(p.holder, r, map[fleetID]bool{"entry-3": true}))
+	is.True(isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true, "entry-3": true}))
+}
+
+// A holder that dies after it worked without control is billed what its witnesses
+// recorded, not all that it was granted.
+func TestDeadHolderIsBilledItsRaise(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3", "entry-4"}, nil)
+	p.exchange()
+	_ = p.holder.Reserve(p.now, "r0", "acme", 4_000)
+	p.exchange()
+	p.holder.GiveUp("r0", "acme")
+	p.now = p.now.Add(quota.DefaultOptions().FullEvery)
+	p.exchange()
+	p.now = p.now.Add(cutOff)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	r, _, _, _ := p.holder.Raise(p.now)
+	var words []quota.Testimony
+	for _, id := range []fleetID{"entry-2", "entry-3", "entry-4"} {
+		w := quota.NewWitness(id)
+		r.Witness = id
+		if id != "entry-4" {
+			is.True(w.Raise(r))
+		}
+		words = append(words, w.Fence(id, "entry-1"))
+		is.True(!w.Raise(r)) // fenced
+	}
+	raised, verdict := p.ledger.Holders["entry-1"].Judge(words[1:])
+	is.Equal(verdict, quota.Settled)
+	p.ledger.End(quota.Ending{Holder: "entry-1", Seq: p.ledger.Holders["entry-1"].Seq, Evidence: quota.Evidence{Witnessed: true, Raised: raised}})
+	is.Equal(p.ledger.Accounts["acme"].Billed, quota.Tokens(900))
+}
+
+// What the witnesses say of an ended holder. Two of three must record a raise, so
+// any two know of each that was used.
+func TestJudge(t *testing.T) {
+	life := quota.Life{Heard: 7, Witnesses: []fleetID{"a", "b", "c"}}
+	marks := func(n quota.Tokens) map[string]quota.Tokens { return map[string]quota.Tokens{"acme": n} }
+	clean, old, lost := quota.Testimony{Valid: true}, quota.Testimony{Valid: true, Heard: 6, Marks: marks(900)}, quota.Testimony{}
+	low, high := quota.Testimony{Valid: true, Heard: 7, Marks: marks(300)}, quota.Testimony{Valid: true, Heard: 8, Marks: marks(500)}
+	for name, c := range map[string]struct {
+		words []quota.Testimony
+		want  quota.Verdict
+		marks map[string]quota.Tokens
+	}{
+		"two that have recorded nothing":     {[]quota.Testimony{clean, clean}, quota.Settled, map[string]quota.Tokens{}},
+		"records from before the statement":  {[]quota.Testimony{old, clean}, quota.Settled, map[string]quota.Tokens{}},
+		"the highest record counts":          {[]quota.Testimony{low, clean, high}, quota.Settled, marks(500)},
+		"one record, one that lost it":       {[]quota.Testimony{low, lost}, quota.Open, nil},
+		"nobody answers":                     {nil, quota.Open, nil},
+		"one of three is not enough":         {[]quota.Testimony{clean}, quota.Open, nil},
+		"two are lost, so nobody can tell":   {[]quota.Testimony{lost, lost}, quota.Unproven, nil},
+		"two are lost, the third can't tell": {[]quota.Testimony{clean, lost, lost}, quota.Unproven, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			raised, verdict := life.Judge(c.words)
+			is.Equal(verdict, c.want)
+			is.Equal(raised, c.marks)
+		})
+	}
+}
+
+// When all processes end at once, no witness is left. Then a holder is billed what
+// had opened by the time that its successor started, however long its grant is.
+func TestAllEndAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2", "entry-3"}, nil)
+	p.demand(is)
+	row := *p.ledger.Accounts["acme"].Rows["entry-1"]
+	is.True(row.Granted-row.Used > 30_000) // it can serve a long cut
+	for name, c := range map[string]struct {
+		keepers quota.Verdict
+		most    quota.Tokens
+	}{
+		"no raise is on any disk":       {quota.Settled, row.Granted / 10},
+		"the word of a disk is missing": {quota.Unproven, row.Granted / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := quota.NewLedger()
+			l.SetPrepaid(map[string]quota.Tokens{"acme": 1_000_000})
+			l.Holders["entry-1"] = &quota.Life{Addr: addrA}
+			copied := row
+			l.Accounts["acme"].Rows["entry-1"] = &copied
+			e := quota.DefaultOptions().ByTime(2500*time.Millisecond, nil, c.keepers)
+			l.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, quota.Statement{Holder: "entry-9", Addr: addrA, Seq: 1, Replaced: e})
+			burned := l.Accounts["acme"].Burned
+			is.True(burned > 0)
+			is.True(burned < c.most)
+		})
+	}
+}
+
+// Early in a cut a holder spends only what a keeper has recorded too, and is billed
+// that when all processes end at once; later it does without.
+func TestKeeper(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000_000)
+	p.holder.SetWitnesses([]fleetID{"entry-2"}, []fleetID{"keeper-1", "keeper-2"})
+	p.demand(is)
+	var refused *quota.RefusedError
+	is.True(errors.As(p.holder.Reserve(p.now, "r1", "acme", 900), &refused))
+	in := refused.RetryIn
+	is.True(in > quota.DefaultOptions().OpenAfter)
+	is.True(errors.As(p.holder.Reserve(p.now.Add(in-100*time.Millisecond), "r1", "acme", 900), &refused))
+	is.True(!refused.Raisable)
+	is.True(errors.As(p.holder.Reserve(p.now.Add(in), "r1", "acme", 900), &refused))
+	is.True(refused.Raisable)
+	p.now = p.now.Add(quota.DefaultOptions().KeeperLead)
+	is.True(errors.As(p.holder.Reserve(p.now, "r1", "acme", 900), &refused))
+	is.True(refused.Raisable && refused.RetryIn == 0)
+	r, witnesses, keepers, wanted := p.holder.Raise(p.now)
+	is.True(wanted)
+	is.Equal(witnesses, []fleetID{"entry-2"})
+	is.Equal(keepers, []fleetID{"keeper-1", "keeper-2"})
+	acked := map[fleetID]bool{"entry-2": true}
+	recorded, kept := p.holder.Recorded(r, acked)
+	is.True(recorded && !kept)
+	is.True(p.holder.Reserve(p.now, "r1", "acme", 900) != nil)
+	acked["keeper-2"] = true
+	_, kept = p.holder.Recorded(r, acked)
+	is.True(kept)
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	p.now = p.now.Add(quota.DefaultOptions().CutOff)
+	is.True(p.holder.Reserve(p.now, "r2", "acme", 900) != nil)
+	later, _, _, _ := p.holder.Raise(p.now)
+	is.True(isRecorded(p.holder, later, map[fleetID]bool{"entry-2": true}))
+	is.NoErr(p.holder.Reserve(p.now, "r2", "acme", 900))
+
+	life := *p.ledger.Holders["entry-1"]
+	one, two := quota.NewWitness("keeper-1"), quota.NewWitness("keeper-2")
+	r.Witness = "keeper-2"
+	is.True(two.Raise(r))
+	words := []quota.Testimony{one.Peek("keeper-1", "entry-1"), two.Peek("keeper-2", "entry-1")}
+	marks, verdict := life.JudgeKept(words)
+	is.Equal(verdict, quota.Settled)
+	is.Equal(marks, r.Marks)
+	_, verdict = life.JudgeKept(words[1:])
+	is.Equal(verdict, quota.Open)
+	_, verdict = life.JudgeKept([]quota.Testimony{words[0], {}}) // the disk was replaced
+	is.Equal(verdict, quota.Unproven)
+}
+
+func isRecorded(h *quota.Holder, r quota.Raise, acked map[fleetID]bool) bool {
+	recorded, _ := h.Recorded(r, acked)
+	return recorded
+}
