Refuse raises while a keeper's disk hangs

Cause: on a disk that hangs each call to a keeper waited for the queue, so a host could gather calls without bound. Ruled out by the test: a raise that is called recorded and is not there after a restart. A raise for another witness, which the caller of the keeper checks, is refused by the keeper itself as well: the folder would have been taken for damaged at the next start.

--- a/io/node/keeper.go
+++ b/io/node/keeper.go
@@ -96,13 +96,17 @@
 	}
 }
 
-// raise records a holder's marks on the disk.
+// raise records a holder's marks on the disk. It is refused while too many wait, as
+// on a disk that hangs.
 func (k *keeper) raise(r quota.Raise) bool {
+	if r.Witness != k.id {
+		return false
+	}
 	e := entry{raise: r, ok: make(chan bool, 1)}
 	select {
-	case <-k.done:
-		return false
 	case k.entries <- e:
+	default:
+		return false
 	}
 	select {
 	case <-k.done:
--- /dev/null
+++ b/io/node/keeper_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"sync"
+	"testing"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/quota"
+	"dotterelgap/io/ctrl"
+	"dotterelgap/io/disk"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// slowFS syncs files only when it is let.
+type slowFS struct {
+	disk.FS
+	sync chan struct{}
+}
+
+type slowFile struct {
+	disk.File
+	sync chan struct{}
+}
+
+func (f slowFS) OpenAppend(name string) (disk.File, error) {
+	file, err := f.FS.OpenAppend(name)
+	return slowFile{file, f.sync}, err
+}
+
+func (f slowFile) Sync() error {
+	<-f.sync
+	return f.File.Sync()
+}
+
+func never(fleet.NodeID) bool { return false }
+
+// What a keeper has recorded is there after a restart, and another folder's keeper
+// answers for nothing.
+func TestKeeperRestart(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	id := ctrl.KeeperID(7)
+	k, err := openKeeper(zap.NewNop(), disk.OS(), dir, 7, never)
+	is.NoErr(err)
+	is.True(k.raise(quota.Raise{Witness: id, Holder: "entry-1", Heard: 3, Marks: map[string]quota.Tokens{"acme": 900}}))
+	is.True(!k.raise(quota.Raise{Witness: "keeper-other", Holder: "entry-1", Heard: 4}))
+	k.close()
+	is.True(!k.raise(quota.Raise{Witness: id, Holder: "entry-1", Heard: 5})) // closed
+	k, err = openKeeper(zap.NewNop(), disk.OS(), dir, 7, never)
+	is.NoErr(err)
+	defer k.close()
+	is.Equal(k.peek(id, "entry-1"), quota.Testimony{Valid: true, Heard: 3, Marks: map[string]quota.Tokens{"acme": 900}})
+	is.Equal(k.peek(id, "entry-2"), quota.Testimony{Valid: true})
+	is.Equal(k.peek("keeper-other", "entry-1"), quota.Testimony{})
+}
+
+// On a disk that hangs nothing is called recorded, and what waits is bounded; all
+// that waited is written with few syncs once the disk is back.
+func TestKeeperHangingDisk(t *testing.T) {
+	is := is.New(t)
+	fsys := slowFS{disk.OS(), make(chan struct{})}
+	id := ctrl.KeeperID(7)
+	k, err := openKeeper(zap.NewNop(), fsys, t.TempDir(), 7, never)
+	is.NoErr(err)
+	var wg sync.WaitGroup
+	results := make(chan bool, 4*keeperQueue)
+	for n := range 4 * keeperQueue {
+		wg.Go(func() {
+			results <- k.raise(quota.Raise{Witness: id, Holder: "entry-1", Heard: 1, Marks: map[string]quota.Tokens{"acme": quota.Tokens(n)}})
+		})
+	}
+	refused := 0
+	for refused < 2*keeperQueue { // at least those that neither wait nor are being written
+		is.True(!<-results)
+		refused++
+	}
+	close(fsys.sync)
+	wg.Wait()
+	close(results)
+	recorded := 0
+	for ok := range results {
+		if ok {
+			recorded++
+		}
+	}
+	is.True(recorded > 0)
+	is.True(recorded <= 2*keeperQueue)
+	k.close()
+}
