--- /dev/null
+++ b/core/trail/reader_test.go
@@ -0,0 +1,34 @@
+package trail_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"dotterelgap/core/trail"
+
+	"github.com/matryer/is"
+)
+
+// Lines that are too long, torn or of another kind are counted, and what follows them
+// is read; of what nodes came to believe only the time around the request counts.
+func TestReader(t *testing.T) {
+	is := is.New(t)
+	var log strings.Builder
+	log.WriteString(strings.Repeat("x", 3<<20) + "\n")
+	log.WriteString("not a log line\n{\"ts\":\"soon\",\"msg\":\"m\"}\n")
+	for i := range 10_000 {
+		fmt.Fprintf(&log, `{"ts":"2026-01-01T10:00:%02d.%03dZ","msg":"node: tokens were borrowed","node":"n1","tokens":%d}`+"\n", i/1000, i%1000, i)
+	}
+	log.WriteString(`{"ts":"2026-01-01T10:00:10.000Z","msg":"front: served","node":"n1","request":"r1","took":"500ms"}`)
+	r := trail.NewReader("r1")
+	is.NoErr(r.Read(strings.NewReader(log.String())))
+	report := r.Report()
+	is.True(report.Found())
+	is.Equal(report.Lines, 10_004)
+	is.Equal(report.Bad, 3)
+	var out strings.Builder
+	is.NoErr(report.Write(&out))
+	is.True(strings.Contains(out.String(), "10:00:09.500  arrived"))
+	is.Equal(strings.Count(out.String(), "tokens were borrowed"), 3_500) // from 3 s before the request on
+}
