--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -35,7 +35,7 @@
 		OpenAfter:    400 * time.Millisecond,
 		CutOff:       2000 * time.Millisecond,
 		Start:        250 * time.Millisecond,
-		GrantOpens:   1500 * time.Millisecond,
+		GrantOpens:   5 * time.Second,
 		KeeperLead:   1200 * time.Millisecond,
 		Ahead:        2500 * time.Millisecond,
 		Interval:     150 * time.Millisecond,
