Book a newcomer only with the evidence on the holder that it replaces

Cause: after all nodes were killed at once, in one of five runs of TestNodesLoseAllAtOnce 30% of the budget was gone (693,567 of 1,000,000 used). The new leader had not applied all of its log yet, found no earlier holder at the newcomer's address, and proposed the statement without evidence; by the time it was applied the holder was there, and was billed its whole grant. Ruled out by the test's logs: keepers, gaps (no holder was judged at all). Change: a statement names the holder that its evidence is on; the ledger takes a newcomer in only if no other one is left at its address, and the leader judges again.

--- a/core/quota/leader_test.go
+++ b/core/quota/leader_test.go
@@ -15,10 +15,13 @@
 // book applies a statement as a leader does, and sends the answer back.
 func (w *world) book(h *host, holder *quota.Holder, s quota.Statement, _ time.Time) {
 	decided := false
-	if s.Replaced, decided = w.evidence(s); !decided {
+	if s.Replaces, s.Replaced, decided = w.evidence(s); !decided {
+		return
+	}
+	answers, booked := w.ledger.Apply(w.stamp(), s)
+	if !booked {
 		return
 	}
-	answers := w.ledger.Apply(w.stamp(), s)
 	ended := w.ledger.Ended(s.Holder)
 	w.send(func() {
 		if h.cutOff || h.holder != holder || !h.alive {
@@ -35,33 +38,33 @@
 }
 
 // evidence bounds what a replaced holder can have spent, as a leader does.
-func (w *world) evidence(s quota.Statement) (e quota.Evidence, decided bool) {
+func (w *world) evidence(s quota.Statement) (id fleet.NodeID, e quota.Evidence, decided bool) {
 	if _, known := w.ledger.Holders[s.Holder]; known {
-		return e, true
+		return id, e, true
 	}
 	id, ok := w.ledger.EarlierAt(s.Addr, s.Holder)
 	if !ok {
-		return e, true
+		return id, e, true
 	}
 	life := *w.ledger.Holders[id]
 	gap := w.now.Sub(life.Sure.At) - s.Age
 	if !life.Sure.At.IsZero() {
 		kept, verdict := life.JudgeKept(w.keepersWords(life, id))
 		if verdict == quota.Open && s.Age <= time.Second {
-			return e, false
+			return id, e, false
 		}
 		e = w.opts.ByTime(gap, kept, verdict)
 	}
 	if e.Timed && gap <= w.opts.OpenAfter {
-		return e, true
+		return id, e, true
 	}
 	var verdict quota.Verdict
 	e.Raised, verdict = life.Judge(w.testimonies(life, id, false))
 	e.Witnessed = verdict == quota.Settled
 	if !e.Timed && verdict == quota.Open && s.Age <= 3*time.Second {
-		return e, false
+		return id, e, false
 	}
-	return e, true
+	return id, e, true
 }
 
 // keepersWords asks the keepers that control can reach. A disk that was replaced
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -160,16 +160,20 @@
 }
 
 // Apply takes in a statement and answers it with an allowance for each customer
-// that it names. now only weighs demand; no bound rests on it.
-func (l *Ledger) Apply(now Moment, s Statement) []Allowance {
+// that it names. now only weighs demand; no bound rests on it. A statement whose
+// holder replaces another one than its leader has judged is not taken in: booked is
+// false then, and it must be judged again.
+func (l *Ledger) Apply(now Moment, s Statement) (answers []Allowance, booked bool) {
 	h, ok := l.Holders[s.Holder]
 	if !ok {
-		l.replace(s)
+		if !l.replace(s) {
+			return nil, false
+		}
 		h = &Life{Addr: s.Addr}
 		l.Holders[s.Holder] = h
 	}
 	if h.Ended {
-		return nil
+		return nil, true
 	}
 	fresh := s.Seq > h.Seq
 	if fresh {
@@ -187,9 +191,9 @@
 	}
 	if s.Left && fresh {
 		l.end(s.Holder, Evidence{Witnessed: true})
-		return out
+		return out, true
 	}
-	return append(out, l.recalls(now.At, s)...)
+	return append(out, l.recalls(now.At, s)...), true
 }
 
 // recalls asks the holder of a statement to give back of the customers that it
@@ -210,15 +214,15 @@
 	return out
 }
 
-// replace ends the earlier holders at a newcomer's address.
-func (l *Ledger) replace(s Statement) {
-	for {
-		id, ok := l.EarlierAt(s.Addr, s.Holder)
-		if !ok {
-			return
-		}
+// replace ends the holder that a newcomer's leader has judged, and tells whether no
+// other one is left at the newcomer's address. A leader that has not applied all of
+// its log yet may not know of one.
+func (l *Ledger) replace(s Statement) bool {
+	if id, ok := l.EarlierAt(s.Addr, s.Holder); ok && id == s.Replaces {
 		l.end(id, s.Replaced)
 	}
+	_, ok := l.EarlierAt(s.Addr, s.Holder)
+	return !ok
 }
 
 // end bills an ended holder the most that it can have spent. The rest returns to
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -161,9 +161,15 @@
 	}
 }
 
+// book takes a statement in, and hands the answer to its holder.
+func (p *pair) book(h *quota.Holder, s quota.Statement) {
+	answers, _ := p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s)
+	h.Answered(p.now, s.Seq, answers)
+}
+
 func (p *pair) exchange() {
 	s := p.holder.Statement(p.now)
-	p.holder.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+	p.book(p.holder, s)
 }
 
 // A request that waits keeps the mark that it was given, though a statement goes
@@ -191,7 +197,7 @@
 	for range 4 {
 		err = other.Reserve(p.now, "r1", "acme", 1_000)
 		s := other.Statement(p.now)
-		other.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+		p.book(other, s)
 		p.exchange()
 	}
 	is.NoErr(err)
@@ -212,7 +218,7 @@
 	for range 4 {
 		granted = granted || other.Reserve(p.now, "r2", "acme", 900) == nil
 		s := other.Statement(p.now)
-		other.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+		p.book(other, s)
 		p.exchange()
 	}
 	is.True(granted)
@@ -230,7 +236,7 @@
 	other := quota.NewHolder("entry-2", addrB, quota.DefaultOptions(), p.now)
 	other.SetCustomers(p.now, []string{"acme"})
 	s := other.Statement(p.now)
-	other.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+	p.book(other, s)
 	is.True(other.Reserve(p.now, "r1", "acme", 900) != nil)
 	r, wanted := other.LoanWanted("acme", 900)
 	is.True(wanted)
@@ -243,3 +249,24 @@
 	n, _ = p.holder.Lend(p.now, quota.LoanRequest{Customer: "acme", Want: 5_000})
 	is.Equal(n, quota.Tokens(1_100)) // half of what is left
 }
+
+// A newcomer is booked only with the evidence on the holder that it replaces: a
+// leader that does not know of that one yet must judge again.
+func TestReplacedHolderMustBeJudged(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.exchange()
+	at := quota.Moment{At: p.now, Term: 2, By: 2}
+	s := quota.Statement{Holder: "entry-2", Addr: addrA, Seq: 1, Uses: []quota.Usage{{Customer: "acme"}}}
+	_, booked := p.ledger.Apply(at, s)
+	is.True(!booked)
+	s.Replaces = "entry-0" // another one than is there
+	_, booked = p.ledger.Apply(at, s)
+	is.True(!booked)
+	is.True(!p.ledger.Ended("entry-1"))
+	s.Replaces, s.Replaced = "entry-1", quota.Evidence{Witnessed: true}
+	_, booked = p.ledger.Apply(at, s)
+	is.True(booked)
+	is.True(p.ledger.Ended("entry-1"))
+	is.Equal(p.ledger.Accounts["acme"].Billed, quota.Tokens(0))
+}
--- a/core/quota/raise_test.go
+++ b/core/quota/raise_test.go
@@ -49,7 +49,7 @@
 	r, _, _, _ := p.holder.Raise(p.now)
 	is.True(isRecorded(p.holder, r, map[fleetID]bool{"entry-2": true}))
 	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
-	p.holder.Answered(p.now, s.Seq, p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, s))
+	p.book(p.holder, s)
 	p.now = p.now.Add(cutOff)
 	is.True(p.holder.Reserve(p.now, "r2", "multan", 300) != nil)
 	r, _, _, wanted := p.holder.Raise(p.now)
@@ -163,7 +163,7 @@
 			copied := row
 			l.Accounts["acme"].Rows["entry-1"] = &copied
 			e := quota.DefaultOptions().ByTime(2500*time.Millisecond, nil, c.keepers)
-			l.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, quota.Statement{Holder: "entry-9", Addr: addrA, Seq: 1, Replaced: e})
+			l.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, quota.Statement{Holder: "entry-9", Addr: addrA, Seq: 1, Replaces: "entry-1", Replaced: e})
 			burned := l.Accounts["acme"].Burned
 			is.True(burned > 0)
 			is.True(burned < c.most)
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -25,9 +25,10 @@
 	Left bool `cbor:"6,keyasint,omitempty"`
 	// Age is how long the holder's process has run.
 	Age time.Duration `cbor:"7,keyasint"`
-	// Replaced is set by the control group's leader where the holder replaces one
-	// at its address: what is known of the earlier one's end.
-	Replaced Evidence `cbor:"11,keyasint"`
+	// Replaces is set by the control group's leader where the holder replaces one at
+	// its address, Replaced to what is known of that one's end.
+	Replaces fleet.NodeID `cbor:"13,keyasint,omitempty"`
+	Replaced Evidence     `cbor:"11,keyasint"`
 	// Witnesses are the nodes of which half must have recorded what the holder
 	// spends beyond its starts. Without any it needs nobody's word.
 	Witnesses []fleet.NodeID `cbor:"9,keyasint,omitempty"`
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -112,12 +112,13 @@
 	}
 	st := *args
 	var decided bool
-	if st.Replaced, decided = h.evidence(st, bootTime()); !decided {
+	if st.Replaces, st.Replaced, decided = h.evidence(st, bootTime()); !decided {
 		reply.NotLeader = true
 		return nil
 	}
 	res, hint := h.commit(state.Command{Quota: &st})
 	reply.Hint, reply.Allowances, reply.Ended = hint, res.Allowances, res.Ended
+	reply.NotLeader = reply.NotLeader || res.Unbooked
 	return nil
 }
 
@@ -163,19 +164,19 @@
 // start of the newcomer's process, and by the words of its witnesses. It is not
 // decided while those who may know more can't be reached. The statement came at
 // the boot time arrived.
-func (h *Host) evidence(st quota.Statement, arrived time.Duration) (e quota.Evidence, decided bool) {
+func (h *Host) evidence(st quota.Statement, arrived time.Duration) (of fleet.NodeID, e quota.Evidence, decided bool) {
 	r, ok := h.replaces(st)
 	if !ok {
-		return quota.Evidence{}, true
+		return "", quota.Evidence{}, true
 	}
 	if !r.leading {
 		// This host may lead by the time that the statement is booked.
-		return quota.Evidence{}, false
+		return "", quota.Evidence{}, false
 	}
 	gap, known := h.gap(r)
 	gap -= st.Age + bootTime() - arrived
 	if known && gap <= h.deps.Quota.OpenAfter {
-		return h.deps.Quota.ByTime(gap, nil, quota.Unproven), true
+		return r.id, h.deps.Quota.ByTime(gap, nil, quota.Unproven), true
 	}
 	words := h.ask(r.witnesses, r.id, fence)
 	raised, verdict := r.life.Judge(words)
@@ -184,7 +185,7 @@
 		var keepers quota.Verdict
 		kept, keepers = r.life.JudgeKept(h.ask(r.keepers, r.id, peek))
 		if known && keepers == quota.Open && st.Age < keepersWithin || !known && st.Age < decideWithin {
-			return quota.Evidence{}, false
+			return "", quota.Evidence{}, false
 		}
 		if known {
 			e = h.deps.Quota.ByTime(gap, kept, keepers)
@@ -197,7 +198,7 @@
 		zap.String("by", string(st.Holder)), zap.Stringer("addr", st.Addr), zap.Bool("gap_known", known),
 		zap.Duration("gap", gap), zap.Duration("age", st.Age), zap.Duration("unsure", r.life.Last.At.Sub(r.life.Sure.At)),
 		zap.Duration("queued", bootTime()-arrived), zap.Any("testimonies", words), zap.Any("evidence", e))
-	return e, true
+	return r.id, e, true
 }
 
 // gap is the time since the holder's last answered statement.
