--- a/core/quota/leader_test.go
+++ b/core/quota/leader_test.go
@@ -13,7 +13,7 @@
 )
 
 // book applies a statement as a leader does, and sends the answer back.
-func (w *world) book(h *host, holder *quota.Holder, s quota.Statement, _ time.Time) {
+func (w *world) book(h *host, holder *quota.Holder, s quota.Statement) {
 	decided := false
 	if s.Replaces, s.Replaced, decided = w.evidence(s); !decided {
 		return
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -212,12 +212,12 @@
 	}
 	h.holder.SetWitnesses(others[:min(len(others), 3)], keepers)
 	s := h.holder.Statement(w.now)
-	holder, sentAt := h.holder, w.now
+	holder := h.holder
 	w.send(func() {
 		if h.cutOff {
 			return
 		}
-		w.book(h, holder, s, sentAt)
+		w.book(h, holder, s)
 	})
 }
 
