Replace a connection only after half a second of silence

Each call that gave up while nothing had arrived since it was sent closed the connection that all calls to that process share. Change: a connection is replaced once calls have waited for 0.5 s since the other side was last heard, however short each of them is.

--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -41,12 +41,21 @@
 	err    error
 }
 
-// client is a net/rpc client that knows when it last heard from the other side.
+// client is a net/rpc client that knows for how long the other side has been silent.
 type client struct {
 	*rpc.Client
 	conn *heardConn
+	// asked is when the first call since the other side was last heard was sent, as
+	// the time since epoch.
+	asked atomic.Int64
 }
 
+// maxSilence is how long the other side may be silent while calls wait for it. A
+// connection that is silent for longer is replaced. It is longer than a busy process
+// takes to answer: calls of others share the connection, and a new one costs both
+// sides more than an answer.
+const maxSilence = 500 * time.Millisecond
+
 // epoch is what heardConn counts from, on the monotonic clock.
 var epoch = time.Now()
 
@@ -65,9 +74,18 @@
 	return n, err
 }
 
-// silentSince tells whether nothing has arrived since a time.
-func (c *client) silentSince(t time.Time) bool {
-	return c.conn.heard.Load() < int64(t.Sub(epoch))
+// ask notes that a call is sent.
+func (c *client) ask() {
+	if c.conn.heard.Load() >= c.asked.Load() {
+		c.asked.Store(int64(time.Since(epoch)))
+	}
+}
+
+// silent tells whether calls have waited for more than maxSilence since the other side
+// was last heard.
+func (c *client) silent() bool {
+	asked := c.asked.Load()
+	return c.conn.heard.Load() < asked && time.Since(epoch)-time.Duration(asked) > maxSilence
 }
 
 // NewPool returns a pool without connections.
@@ -112,11 +130,11 @@
 	if err != nil {
 		return &NotSentError{Addr: addr, Err: err}
 	}
-	began := time.Now()
+	c.ask()
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
-		if c.silentSince(began) {
+		if c.silent() {
 			p.drop(addr, c)
 		}
 		return &UnknownOutcomeError{Addr: addr, Method: method, Err: ctx.Err()}
