Log what an ended holder is billed beyond its use, and when control is lost

Cause: logs didn't tell how much of a customer's tokens an ending burned, nor for how long a node had no answer to its statements; both were needed to explain refusals. Change: one line at the leader for each ending, one at a node for each loss and return of the control group.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -38,6 +38,11 @@
 	EndHolder *quota.Ending     `cbor:"end_holder,omitempty"`
 }
 
+// EndsHolder tells whether the command may end a holder of prepaid budgets.
+func (c Command) EndsHolder() bool {
+	return c.EndHolder != nil || c.Quota != nil && (c.Quota.Replaces != "" || c.Quota.Left)
+}
+
 // Publish proposes a routing policy. The highest number is in force.
 type Publish struct {
 	Number uint64 `cbor:"number"`
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -218,6 +218,7 @@
 }
 
 func (h *Host) apply(out raft.Output) {
+	before := h.state.Policy.Number
 	for _, e := range out.Committed {
 		h.applied = e.Index
 		var res state.Result
@@ -231,6 +232,10 @@
 		delete(h.waiters, e.Index)
 		w.done <- outcome{res: res, lost: w.term != e.Term}
 	}
+	// Of many policies, as there are after a start, only the last is put in force.
+	if h.state.Policy.Number > before {
+		h.deps.OnPolicy(h.state.Policy)
+	}
 }
 
 func (h *Host) applyCommand(e raft.Entry) state.Result {
@@ -239,10 +244,15 @@
 		h.log.Error("control: entry can't be decoded", zap.Uint64("index", e.Index), zap.Error(err))
 		return state.Result{Err: err}
 	}
-	before := h.state.Policy.Number
+	ends := c.EndsHolder()
+	var burned quota.Tokens
+	if ends {
+		burned = h.state.Quota.Burned()
+	}
 	res := h.state.Apply(c)
-	if h.state.Policy.Number > before {
-		h.deps.OnPolicy(h.state.Policy)
+	if ends && h.wasRole == raft.Leader {
+		h.log.Info("control: a holder of budgets was billed", zap.Int64("beyond_use", int64(h.state.Quota.Burned()-burned)),
+			zap.Bool("booked", !res.Unbooked))
 	}
 	return res
 }
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -45,6 +45,8 @@
 	keeper atomic.Pointer[keeper]
 	// keptAt is when each witness last recorded something.
 	keptAt map[fleet.NodeID]time.Time
+	// lostAt is when control did not answer any more; zero while it does.
+	lostAt time.Time
 	// changed is closed with the next answer of control or record of a witness.
 	changed chan struct{}
 }
@@ -180,11 +182,27 @@
 	switch {
 	case err != nil:
 		b.holder.Lost(s.Seq)
+		b.noteControl(err)
 	case reply.Ended:
 		b.n.log.Warn("node: the control group has ended this holder of budgets", zap.String("holder", string(s.Holder)))
 		b.holder.Renew(fleet.NewNodeID(fleet.RoleEntry, b.n.deps.Rand))
 	default:
 		b.holder.Answered(time.Now(), s.Seq, reply.Allowances)
+		b.noteControl(nil)
+	}
+}
+
+// noteControl logs when the control group is lost, and when it answers again. The
+// caller holds the lock.
+func (b *budgets) noteControl(err error) {
+	now := time.Now()
+	switch {
+	case err == nil && !b.lostAt.IsZero():
+		b.n.log.Info("node: the control group answers statements again", zap.Duration("after", now.Sub(b.lostAt).Round(time.Millisecond)))
+		b.lostAt = time.Time{}
+	case err != nil && b.lostAt.IsZero():
+		b.n.log.Warn("node: the control group does not answer a statement", zap.Error(err))
+		b.lostAt = now
 	}
 }
 
