Bill a customer only where its caller got some of the answer

Ruled out: that the users count such requests. Change: nothing is billed before something was passed on. An answer that is no stream is billed its worst case (it was its prompt: its tokens can't be counted), the prompt alone if the upstream failed.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -54,7 +54,6 @@
 		return verdict{outcome: sched.Rejected, refusal: errRejected}
 	}
 	c.ran = true
-	c.billed = max(c.billed, quota.Tokens(c.terms.Input))
 	if c.route.Kind == policy.Stream && a.Status == http.StatusOK {
 		return c.relay(ctx, a)
 	}
@@ -86,10 +85,6 @@
 		return verdict{outcome: sched.Failed, refusal: errNoUpstream}
 	}
 	c.ran = true
-	var lost *conns.LostError
-	if !errors.As(err, &lost) || !lost.Declined {
-		c.billed = max(c.billed, quota.Tokens(c.terms.Input))
-	}
 	if ctx.Err() != nil {
 		return verdict{outcome: c.ending(), final: true, refusal: errTimeout, mayHaveRun: true}
 	}
@@ -115,8 +110,7 @@
 		}
 		copyHeader(c.w.Header(), a.Header)
 		c.w.Header().Set("Content-Length", strconv.Itoa(buf.Len()))
-		c.first = time.Now()
-		c.w.WriteHeader(a.Status)
+		c.beginAnswer(a.Status)
 		_, _ = c.w.Write(buf.Bytes())
 		return done(sched.Served)
 	}
@@ -130,6 +124,18 @@
 	return verdict{outcome: sched.Failed, refusal: errLost, mayHaveRun: true}
 }
 
+// beginAnswer passes on the head of an answer that is no stream. From then on the
+// customer is billed: the worst case, since the tokens of such an answer can't be
+// counted, or the prompt alone if the upstream failed.
+func (c *call) beginAnswer(status int) {
+	c.billed = quota.Tokens(c.terms.Input)
+	if status < http.StatusBadRequest {
+		c.billed = c.worst()
+	}
+	c.first = time.Now()
+	c.w.WriteHeader(status)
+}
+
 // mayRepeat tells whether another run after an upstream's own failure is
 // allowed.
 func (c *call) mayRepeat() bool {
@@ -142,8 +148,7 @@
 	if a.Length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
-	c.first = time.Now()
-	c.w.WriteHeader(a.Status)
+	c.beginAnswer(a.Status)
 	c.passed = true
 	if _, err := io.Copy(c.w, io.MultiReader(head, a.Body)); err != nil {
 		c.lastErr = err
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -58,9 +58,10 @@
 	return verdict{outcome: sched.Failed, refusal: errLost, mayHaveRun: true}
 }
 
-// billed is what the stream has used: the prompt, and the tokens passed on.
+// billed is what the stream has used: the prompt, and the tokens passed on. A customer
+// whose caller got nothing is billed nothing.
 func (s *relay) billed() quota.Tokens {
-	if s.c.service.Engine == nil {
+	if s.c.service.Engine == nil || s.events == 0 {
 		return 0
 	}
 	tokens := s.events * s.c.service.Engine.EventTokens
