Apply a long log in steps, and compact it by its size

A new leader applied all of its log, up to 20,000 entries at a third to half of a core, in one step of its loop, sent no heartbeats meanwhile, and was voted out. Ruled out: disks (5 ms a sync), policies (only the last one is put in force now). Change: the log machine hands out 64 committed entries at a time, and the host looks at its clock and its messages between two steps; a read waits until what it covers was handed out, and a leader that is behind does none of its regular work. Tests: TestLongLogIsAppliedInSteps, TestSnapshotKeepsLateMembersInReach; the log's fuzz test hands out two at a time and checks that no read is served early.

--- a/core/raft/group_test.go
+++ b/core/raft/group_test.go
@@ -67,7 +67,7 @@
 	saved := h.saved
 	saved.Entries = slices.Clone(saved.Entries)
 	h.machine = raft.New(raft.Params{
-		Self: h.id, Saved: saved, Now: g.now, Election: 300 * time.Millisecond,
+		Self: h.id, Saved: saved, Now: g.now, Election: 300 * time.Millisecond, TakeLimit: 2, KeptEntries: 3,
 		Rand: rand.New(rand.NewPCG(uint64(h.id), h.starts)),
 	})
 }
@@ -101,6 +101,9 @@
 		h.machine.Stable(g.now, h.machine.LastIndex())
 		g.net = append(g.net, out.Messages...)
 		g.apply(h, out)
+		if h.machine.Behind() {
+			break // the driver looks at the clock and for messages first
+		}
 	}
 	if s := h.machine.Status(); s.Role == raft.Leader {
 		if other, ok := g.leaders[s.Term]; ok && other != h.id {
@@ -156,6 +159,9 @@
 		if r.OK && r.Index < g.reads[r.ID] {
 			g.fail("read %d was served at %d, %d had been acknowledged before it", r.ID, r.Index, g.reads[r.ID])
 		}
+		if at := h.base + uint64(len(h.applied)); r.OK && at < r.Index {
+			g.fail("read %d was served at %d when the host had applied %d", r.ID, r.Index, at)
+		}
 	}
 }
 
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -1,13 +1,25 @@
 package raft
 
-// log is the part of the log that follows the latest snapshot.
+// defaultKeptEntries is the number of entries that a snapshot covers and that are kept
+// all the same.
+const defaultKeptEntries = 1024
+
+// log is the latest snapshot and the entries that follow it, with some that it covers.
 type log struct {
 	snapshot Snapshot
-	entries  []Entry
+	// base and baseTerm are those of the entry before the first one that is kept.
+	base, baseTerm uint64
+	entries        []Entry
+	// kept is the number of entries below the snapshot that are kept at most.
+	kept uint64
+}
+
+func newLog(s Snapshot, entries []Entry) log {
+	return log{snapshot: s, base: s.Index, baseTerm: s.Term, entries: entries}
 }
 
 func (l *log) last() uint64 {
-	return l.snapshot.Index + uint64(len(l.entries))
+	return l.base + uint64(len(l.entries))
 }
 
 func (l *log) lastTerm() uint64 {
@@ -17,21 +29,21 @@
 
 // term returns the term at an index, if the index is not compacted or missing.
 func (l *log) term(i uint64) (uint64, bool) {
-	if i == l.snapshot.Index {
-		return l.snapshot.Term, true
+	if i == l.base {
+		return l.baseTerm, true
 	}
-	if i < l.snapshot.Index || i > l.last() {
+	if i < l.base || i > l.last() {
 		return 0, false
 	}
-	return l.entries[i-l.snapshot.Index-1].Term, true
+	return l.entries[i-l.base-1].Term, true
 }
 
 // from copies up to limit entries from an index on.
 func (l *log) from(i uint64, limit int) []Entry {
-	if i <= l.snapshot.Index || i > l.last() {
+	if i <= l.base || i > l.last() {
 		return nil
 	}
-	rest := l.entries[i-l.snapshot.Index-1:]
+	rest := l.entries[i-l.base-1:]
 	return append([]Entry(nil), rest[:min(limit, len(rest))]...)
 }
 
@@ -39,20 +51,29 @@
 	if from > l.last() || from <= l.snapshot.Index {
 		return
 	}
-	l.entries = l.entries[:from-l.snapshot.Index-1]
+	l.entries = l.entries[:from-l.base-1]
 }
 
-// compact drops the entries that a snapshot covers.
+// compact takes in a snapshot, and drops the entries that it covers but for the last
+// ones.
 func (l *log) compact(s Snapshot) {
 	if s.Index <= l.snapshot.Index {
 		return
 	}
-	if t, ok := l.term(s.Index); ok && t == s.Term {
-		l.entries = append([]Entry(nil), l.entries[s.Index-l.snapshot.Index:]...)
-	} else {
-		l.entries = nil
+	if t, ok := l.term(s.Index); !ok || t != s.Term {
+		kept := l.kept
+		*l = newLog(s, nil)
+		l.kept = kept
+		return
 	}
 	l.snapshot = s
+	if s.Index < l.base+l.kept {
+		return
+	}
+	base := s.Index - l.kept
+	term, _ := l.term(base)
+	l.entries = append([]Entry(nil), l.entries[base-l.base:]...)
+	l.base, l.baseTerm = base, term
 }
 
 // members is the latest membership in the log; it counts once appended.
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -28,6 +28,9 @@
 	firstElectionDivisor = 2
 	// maxEntriesPerAppend bounds one append message.
 	maxEntriesPerAppend = 512
+	// defaultTakeLimit bounds the committed entries that are handed out at a time, so
+	// that a member that applies a long log goes on to send and answer heartbeats.
+	defaultTakeLimit = 64
 )
 
 // Saved is what a member finds on its disk.
@@ -47,6 +50,11 @@
 	Rand     *rand.Rand
 	Now      time.Time
 	Election time.Duration
+	// TakeLimit bounds the committed entries of one Output; 0 for the default.
+	TakeLimit int
+	// KeptEntries is the number of entries that a snapshot covers and that are kept in
+	// memory all the same, for members that are a little behind; 0 for the default.
+	KeptEntries int
 }
 
 type progress struct {
@@ -67,6 +75,8 @@
 	self     MemberID
 	rnd      *rand.Rand
 	election time.Duration
+	// takeLimit bounds the committed entries of one Output.
+	takeLimit int
 
 	state   State
 	log     log
@@ -94,8 +104,9 @@
 func New(p Params) *Machine {
 	m := &Machine{
 		self: p.Self, rnd: p.Rand, election: p.Election, state: p.Saved.State,
-		log: log{snapshot: p.Saved.Snapshot, entries: p.Saved.Entries},
+		log: newLog(p.Saved.Snapshot, p.Saved.Entries), takeLimit: cmp.Or(p.TakeLimit, defaultTakeLimit),
 	}
+	m.log.kept = uint64(cmp.Or(p.KeptEntries, defaultKeptEntries))
 	if m.election == 0 {
 		m.election = DefaultElection
 	}
@@ -121,6 +132,7 @@
 // Take returns what is to be done and clears it.
 func (m *Machine) Take() Output {
 	m.collectCommitted()
+	m.confirmReads()
 	out := m.out
 	m.out = Output{}
 	return out
@@ -130,10 +142,14 @@
 	if m.applied >= m.commit {
 		return
 	}
-	m.out.Committed = m.log.from(m.applied+1, int(m.commit-m.applied))
-	m.applied = m.commit
+	entries := m.log.from(m.applied+1, min(int(m.commit-m.applied), m.takeLimit))
+	m.out.Committed = append(m.out.Committed, entries...)
+	m.applied += uint64(len(entries))
 }
 
+// Behind tells whether there are committed entries that were not handed out yet.
+func (m *Machine) Behind() bool { return m.applied < m.commit }
+
 // Status tells how a member sees the group.
 type Status struct {
 	Self    MemberID   `json:"self"`
--- a/core/raft/read.go
+++ b/core/raft/read.go
@@ -16,7 +16,8 @@
 	return nil
 }
 
-// confirmReads answers the reads that a quorum has confirmed.
+// confirmReads answers the reads that a quorum has confirmed and whose entries were
+// handed out.
 func (m *Machine) confirmReads() {
 	if m.role != Leader || len(m.reads) == 0 {
 		return
@@ -35,7 +36,7 @@
 	}
 	confirmed := sortedDescending(seqs)[m.members.Quorum()-1]
 	n := 0
-	for n < len(m.reads) && m.reads[n].seq <= confirmed {
+	for n < len(m.reads) && m.reads[n].seq <= confirmed && m.reads[n].index <= m.applied {
 		m.out.Reads = append(m.out.Reads, Read{ID: m.reads[n].id, Index: m.reads[n].index, OK: true})
 		n++
 	}
--- /dev/null
+++ b/core/raft/take_test.go
@@ -0,0 +1,82 @@
+package raft_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dotterelgap/core/raft"
+
+	"github.com/matryer/is"
+)
+
+// A member that has a long log to apply hands it out in steps, between which it can
+// look at the clock; a read waits until all before it was handed out.
+func TestLongLogIsAppliedInSteps(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	saved := raft.Bootstrap(raft.Member{ID: 1})
+	const entries = 100
+	for i := range entries {
+		saved.Entries = append(saved.Entries, raft.Entry{Index: uint64(2 + i), Term: 1, Kind: raft.EntryCommand})
+	}
+	saved.State.Term = 1
+	m := raft.New(raft.Params{Self: 1, Saved: saved, Rand: rand.New(rand.NewPCG(1, 1)), Now: now, TakeLimit: 8})
+	m.Tick(now)
+	m.Take()
+	m.Stable(now, m.LastIndex())
+	is.NoErr(m.Read(now, 7))
+	applied, steps := saved.Snapshot.Index, 0
+	for read := false; !read; steps++ {
+		is.True(steps < entries)
+		out := m.Take()
+		is.True(len(out.Committed) <= 8)
+		applied += uint64(len(out.Committed))
+		for _, r := range out.Reads {
+			is.True(r.OK)
+			is.True(applied >= r.Index)
+			read = true
+		}
+	}
+	is.True(steps >= entries/8)
+	is.True(!m.Behind())
+}
+
+// A snapshot keeps some of the entries that it covers, so that a member that is a little
+// behind gets those instead of all of the state.
+func TestSnapshotKeepsLateMembersInReach(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	saved := raft.Bootstrap(raft.Member{ID: 1})
+	saved.Snapshot.Members.Members = append(saved.Snapshot.Members.Members, raft.Member{ID: 2})
+	m := raft.New(raft.Params{Self: 1, Saved: saved, Rand: rand.New(rand.NewPCG(1, 1)), Now: now, KeptEntries: 4})
+	m.Tick(now)
+	for range 10 {
+		_, _, err := m.Propose(now, []byte("x"))
+		is.NoErr(err)
+	}
+	m.Take()
+	m.Stable(now, m.LastIndex())
+	m.Take()
+	last := m.LastIndex()
+	m.Compact(last, []byte("state"))
+	is.Equal(len(m.Tail()), 0) // nothing after the snapshot is to be kept on the disk
+
+	// The member lacks the last three entries, then all.
+	for _, c := range []struct {
+		has  uint64
+		kind raft.Kind
+	}{{last - 3, raft.KindAppend}, {1, raft.KindSnapshot}} {
+		m.Step(now, raft.Message{Kind: raft.KindAppendReply, From: 2, To: 1, Term: m.HardState().Term, Hint: c.has})
+		now = now.Add(time.Second)
+		m.Tick(now)
+		var got []raft.Message
+		for _, msg := range m.Take().Messages {
+			if msg.To == 2 {
+				got = append(got, msg)
+			}
+		}
+		is.True(len(got) > 0)
+		is.Equal(got[len(got)-1].Kind, c.kind)
+	}
+}
--- a/io/ctrl/duty.go
+++ b/io/ctrl/duty.go
@@ -146,8 +146,9 @@
 
 // work is the leader's regular work.
 func (h *Host) work(now time.Time) {
-	// What a leader keeps is reset once its new role was noticed.
-	if now.Sub(h.dutyAt) < dutyInterval || h.wasRole != raft.Leader || h.machine.Status().Role != raft.Leader {
+	// What a leader keeps is reset once its new role was noticed, and it judges by its
+	// state only once it has applied all that is committed.
+	if h.machine.Behind() || now.Sub(h.dutyAt) < dutyInterval || h.wasRole != raft.Leader || h.machine.Status().Role != raft.Leader {
 		return
 	}
 	h.dutyAt = now
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -21,12 +21,16 @@
 
 // Sizes and times of a control host.
 const (
-	queueLength    = 4096
-	batchLimit     = 512
-	tickInterval   = 20 * time.Millisecond
-	dutyInterval   = 100 * time.Millisecond
-	suspectAfter   = 2 * time.Second
-	compactEntries = 20_000
+	queueLength  = 4096
+	batchLimit   = 512
+	tickInterval = 20 * time.Millisecond
+	dutyInterval = 100 * time.Millisecond
+	suspectAfter = 2 * time.Second
+	// The log is compacted once the entries that were applied since the latest
+	// snapshot are compactFactor times its size, and compactBytes at least: what is
+	// read again after a start against what is written.
+	compactBytes  = 1 << 20
+	compactFactor = 4
 )
 
 // Deps is what a Host needs.
@@ -82,6 +86,11 @@
 	dutyAt  time.Time
 	failed  bool
 	clock   *clock
+	// sinceSnapshot are the bytes of the entries that were applied since the latest
+	// snapshot, which has snapshotBytes.
+	sinceSnapshot, snapshotBytes int
+	// behind wakes the loop while committed entries wait to be applied.
+	behind chan struct{}
 }
 
 type waiter struct {
@@ -108,6 +117,7 @@
 		duty:    newDuty(fleet.NewPresence(suspectAfter)),
 		metrics: newMetrics(),
 		clock:   newClock(deps.Saved.WrittenAt),
+		behind:  make(chan struct{}, 1),
 	}
 	if h.deps.OnPolicy == nil {
 		h.deps.OnPolicy = func(state.Published) {}
@@ -129,6 +139,7 @@
 // no data: its state is empty.
 func (h *Host) restore(s raft.Snapshot) error {
 	h.applied = s.Index
+	h.sinceSnapshot, h.snapshotBytes = 0, len(s.Data)
 	if len(s.Data) == 0 {
 		return nil
 	}
@@ -151,6 +162,7 @@
 		case t := <-h.queue:
 			t(time.Now())
 			h.drain()
+		case <-h.behind:
 		case <-ticker.C:
 		}
 		now := time.Now()
@@ -172,7 +184,8 @@
 	}
 }
 
-// flush carries out what the log machine wants, until it wants nothing.
+// flush carries out what the log machine wants, until it wants nothing or has many
+// entries to apply: then it goes on after the next look at the clock.
 func (h *Host) flush(now time.Time) {
 	for !h.failed {
 		out := h.machine.Take()
@@ -187,6 +200,13 @@
 		h.send(out.Messages)
 		h.apply(out)
 		h.answerReads(out.Reads)
+		if h.machine.Behind() {
+			select {
+			case h.behind <- struct{}{}:
+			default:
+			}
+			break
+		}
 	}
 	h.watchRole(now)
 	h.compact()
@@ -221,6 +241,7 @@
 	before := h.state.Policy.Number
 	for _, e := range out.Committed {
 		h.applied = e.Index
+		h.sinceSnapshot += len(e.Data)
 		var res state.Result
 		if e.Kind == raft.EntryCommand {
 			res = h.applyCommand(e)
@@ -296,8 +317,7 @@
 }
 
 func (h *Host) compact() {
-	status := h.machine.Status()
-	if h.failed || h.applied-status.First < compactEntries {
+	if h.failed || h.sinceSnapshot < max(compactBytes, compactFactor*h.snapshotBytes) {
 		return
 	}
 	data, err := h.state.Snapshot()
@@ -305,6 +325,7 @@
 		h.log.Error("control: state can't be encoded", zap.Error(err))
 		return
 	}
+	h.sinceSnapshot, h.snapshotBytes = 0, len(data)
 	snap := h.machine.Compact(h.applied, data)
 	if err := h.deps.Store.Compact(snap, h.machine.HardState(), h.machine.Tail()); err != nil {
 		h.fail(err)
