Judge an ended holder by the whole of a leader's state

Ruled out: lost disks (the evidence named a gap of 10 s, the power was gone for 1.3 s). Change: a leader judges only once it has applied its own first entry and all before it, and a statement names the last statement of the holder that its evidence is on; the ledger takes it in only if that one has not spoken since. Tests: TestCurrent, TestReplacedHolderMustBeJudged (a judgement that misses the last statement; fails without the check).

--- a/core/quota/leader_test.go
+++ b/core/quota/leader_test.go
@@ -15,7 +15,7 @@
 // book applies a statement as a leader does, and sends the answer back.
 func (w *world) book(h *host, holder *quota.Holder, s quota.Statement) {
 	decided := false
-	if s.Replaces, s.Replaced, decided = w.evidence(s); !decided {
+	if s.Replaces, decided = w.replaces(s); !decided {
 		return
 	}
 	answers, booked := w.ledger.Apply(w.stamp(), s)
@@ -37,6 +37,15 @@
 	})
 }
 
+// replaces judges the holder that a statement's holder replaces, as a leader does.
+func (w *world) replaces(s quota.Statement) (quota.Ending, bool) {
+	id, e, decided := w.evidence(s)
+	if l, ok := w.ledger.Holders[id]; ok {
+		return quota.Ending{Holder: id, Seq: l.Seq, Evidence: e}, decided
+	}
+	return quota.Ending{}, decided
+}
+
 // evidence bounds what a replaced holder can have spent, as a leader does.
 func (w *world) evidence(s quota.Statement) (id fleet.NodeID, e quota.Evidence, decided bool) {
 	if _, known := w.ledger.Holders[s.Holder]; known {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -216,10 +216,10 @@
 
 // replace ends the holder that a newcomer's leader has judged, and tells whether no
 // other one is left at the newcomer's address. A leader that has not applied all of
-// its log yet may not know of one.
+// its log yet may not know of one, or not of its last statements.
 func (l *Ledger) replace(s Statement) bool {
-	if id, ok := l.EarlierAt(s.Addr, s.Holder); ok && id == s.Replaces {
-		l.end(id, s.Replaced)
+	if id, ok := l.EarlierAt(s.Addr, s.Holder); ok && id == s.Replaces.Holder {
+		l.End(s.Replaces)
 	}
 	_, ok := l.EarlierAt(s.Addr, s.Holder)
 	return !ok
@@ -364,16 +364,16 @@
 	return now.Sub(l.Holders[id].Last.At) > quietAfter
 }
 
-// Ending ends a holder that is silent since its statement Seq, and whose
-// witnesses refuse to record raises of it from now on.
+// Ending ends a holder that is silent since its statement Seq: one whose witnesses
+// refuse to record raises of it from now on, or one that another replaces.
 type Ending struct {
 	Holder   fleet.NodeID `cbor:"1,keyasint"`
 	Seq      uint64       `cbor:"2,keyasint"`
 	Evidence Evidence     `cbor:"3,keyasint"`
 }
 
-// End bills a silent holder, unless it has spoken up since. It may still live:
-// then it learns of it from its next answer.
+// End bills a holder, unless it has spoken up since it was judged. A silent one may
+// still live: then it learns of it from its next answer.
 func (l *Ledger) End(e Ending) {
 	if h, ok := l.Holders[e.Holder]; ok && !h.Ended && h.Seq == e.Seq {
 		l.end(e.Holder, e.Evidence)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -260,11 +260,17 @@
 	s := quota.Statement{Holder: "entry-2", Addr: addrA, Seq: 1, Uses: []quota.Usage{{Customer: "acme"}}}
 	_, booked := p.ledger.Apply(at, s)
 	is.True(!booked)
-	s.Replaces = "entry-0" // another one than is there
-	_, booked = p.ledger.Apply(at, s)
-	is.True(!booked)
-	is.True(!p.ledger.Ended("entry-1"))
-	s.Replaces, s.Replaced = "entry-1", quota.Evidence{Witnessed: true}
+	last := p.ledger.Holders["entry-1"].Seq
+	for _, e := range []quota.Ending{
+		{Holder: "entry-0", Seq: last},     // another one than is there
+		{Holder: "entry-1", Seq: last - 1}, // its last statement was not known
+	} {
+		s.Replaces = e
+		_, booked = p.ledger.Apply(at, s)
+		is.True(!booked)
+		is.True(!p.ledger.Ended("entry-1"))
+	}
+	s.Replaces = quota.Ending{Holder: "entry-1", Seq: last, Evidence: quota.Evidence{Witnessed: true}}
 	_, booked = p.ledger.Apply(at, s)
 	is.True(booked)
 	is.True(p.ledger.Ended("entry-1"))
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -26,9 +26,8 @@
 	// Age is how long the holder's process has run.
 	Age time.Duration `cbor:"7,keyasint"`
 	// Replaces is set by the control group's leader where the holder replaces one at
-	// its address, Replaced to what is known of that one's end.
-	Replaces fleet.NodeID `cbor:"13,keyasint,omitempty"`
-	Replaced Evidence     `cbor:"11,keyasint"`
+	// its address: how that one ended.
+	Replaces Ending `cbor:"13,keyasint"`
 	// Witnesses are the nodes of which half must have recorded what the holder
 	// spends beyond its starts. Without any it needs nobody's word.
 	Witnesses []fleet.NodeID `cbor:"9,keyasint,omitempty"`
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -147,6 +147,12 @@
 	m.applied += uint64(len(entries))
 }
 
+// Current tells whether the member leads and has handed out all that was committed
+// before: its driver's state is not older than that of any earlier leader.
+func (m *Machine) Current() bool {
+	return m.role == Leader && m.commit >= m.termStart && !m.Behind()
+}
+
 // Behind tells whether there are committed entries that were not handed out yet.
 func (m *Machine) Behind() bool { return m.applied < m.commit }
 
--- a/core/raft/take_test.go
+++ b/core/raft/take_test.go
@@ -87,3 +87,27 @@
 	}
 	return kind
 }
+
+// A leader's state is the latest once it has handed out its own first entry and all
+// before it, not as soon as it leads.
+func TestCurrent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	saved := raft.Bootstrap(raft.Member{ID: 1})
+	for i := range 3 {
+		saved.Entries = append(saved.Entries, raft.Entry{Index: uint64(2 + i), Term: 1, Kind: raft.EntryCommand})
+	}
+	saved.State.Term = 1
+	m := raft.New(raft.Params{Self: 1, Saved: saved, Rand: rand.New(rand.NewPCG(1, 1)), Now: now, TakeLimit: 2})
+	is.True(!m.Current())
+	m.Tick(now)
+	is.Equal(m.Status().Role, raft.Leader)
+	is.True(!m.Current())
+	m.Take()
+	m.Stable(now, m.LastIndex())
+	for m.Behind() {
+		is.True(!m.Current())
+		m.Take()
+	}
+	is.True(m.Current())
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -40,7 +40,7 @@
 
 // EndsHolder tells whether the command may end a holder of prepaid budgets.
 func (c Command) EndsHolder() bool {
-	return c.EndHolder != nil || c.Quota != nil && (c.Quota.Replaces != "" || c.Quota.Left)
+	return c.EndHolder != nil || c.Quota != nil && (c.Quota.Replaces.Holder != "" || c.Quota.Left)
 }
 
 // Publish proposes a routing policy. The highest number is in force.
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -112,7 +112,7 @@
 	}
 	st := *args
 	var decided bool
-	if st.Replaces, st.Replaced, decided = h.evidence(st, bootTime()); !decided {
+	if st.Replaces, decided = h.evidence(st, bootTime()); !decided {
 		reply.NotLeader = true
 		return nil
 	}
@@ -131,7 +131,8 @@
 	now  time.Time
 	last quota.Moment
 	mine bool
-	// leading is set where this host can book the statement.
+	// leading is set where this host can book the statement and knows all that was
+	// booked before.
 	leading bool
 	// clear is set where last is known.
 	clear bool
@@ -152,7 +153,7 @@
 		r.life = *l.Holders[r.id]
 		r.last, r.clear = l.LastOf(r.life.Sure)
 		r.now = h.steady()
-		r.leading = h.machine.Status().Role == raft.Leader
+		r.leading = h.machine.Current()
 		r.mine = r.leading && r.life.Sure.Term == h.machine.HardState().Term
 		r.witnesses, r.keepers = h.witnessesOf(r.life), h.keepersOf(r.life)
 	})
@@ -164,19 +165,26 @@
 // start of the newcomer's process, and by the words of its witnesses. It is not
 // decided while those who may know more can't be reached. The statement came at
 // the boot time arrived.
-func (h *Host) evidence(st quota.Statement, arrived time.Duration) (of fleet.NodeID, e quota.Evidence, decided bool) {
+func (h *Host) evidence(st quota.Statement, arrived time.Duration) (e quota.Ending, decided bool) {
 	r, ok := h.replaces(st)
 	if !ok {
-		return "", quota.Evidence{}, true
+		return quota.Ending{}, true
 	}
 	if !r.leading {
 		// This host may lead by the time that the statement is booked.
-		return "", quota.Evidence{}, false
+		return quota.Ending{}, false
 	}
+	e.Holder, e.Seq = r.id, r.life.Seq
+	e.Evidence, decided = h.judge(r, st, arrived)
+	return e, decided
+}
+
+// judge weighs what is known of a holder's end.
+func (h *Host) judge(r replaced, st quota.Statement, arrived time.Duration) (e quota.Evidence, decided bool) {
 	gap, known := h.gap(r)
 	gap -= st.Age + bootTime() - arrived
 	if known && gap <= h.deps.Quota.OpenAfter {
-		return r.id, h.deps.Quota.ByTime(gap, nil, quota.Unproven), true
+		return h.deps.Quota.ByTime(gap, nil, quota.Unproven), true
 	}
 	words := h.ask(r.witnesses, r.id, fence)
 	raised, verdict := r.life.Judge(words)
@@ -185,7 +193,7 @@
 		var keepers quota.Verdict
 		kept, keepers = r.life.JudgeKept(h.ask(r.keepers, r.id, peek))
 		if known && keepers == quota.Open && st.Age < keepersWithin || !known && st.Age < decideWithin {
-			return "", quota.Evidence{}, false
+			return quota.Evidence{}, false
 		}
 		if known {
 			e = h.deps.Quota.ByTime(gap, kept, keepers)
@@ -198,7 +206,7 @@
 		zap.String("by", string(st.Holder)), zap.Stringer("addr", st.Addr), zap.Bool("gap_known", known),
 		zap.Duration("gap", gap), zap.Duration("age", st.Age), zap.Duration("unsure", r.life.Last.At.Sub(r.life.Sure.At)),
 		zap.Duration("queued", bootTime()-arrived), zap.Any("testimonies", words), zap.Any("evidence", e))
-	return r.id, e, true
+	return e, true
 }
 
 // gap is the time since the holder's last answered statement.
