Settle and give back what a stop cuts off

Change: 0.7 s of the stop's bound are kept for giving back, and Front.Close returns once what it cut off is settled. Test: TestCloseSettles (fails without the wait: nothing was settled).

--- a/io/front/call.go
+++ b/io/front/call.go
@@ -51,6 +51,8 @@
 
 // ServeHTTP serves one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.calls.Add(1)
+	defer f.calls.Done()
 	c := &call{f: f, w: w, r: r, start: time.Now(), id: r.Header.Get(f.deps.Dialect.RequestID)}
 	out := c.serve()
 	if out != nil && !c.passed {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -62,6 +62,8 @@
 	table   atomic.Pointer[policy.Table]
 	leaving atomic.Bool
 	wg      sync.WaitGroup
+	// calls are the requests in progress.
+	calls   sync.WaitGroup
 	metrics *metrics
 
 	mu       sync.Mutex
@@ -135,7 +137,7 @@
 }
 
 // Close lets the balancer notice, finishes the requests in progress until ctx
-// ends, and stops.
+// ends, cuts off the others, and stops. It returns once all are settled.
 func (f *Front) Close(ctx context.Context) error {
 	f.leaving.Store(true)
 	t := time.NewTimer(f.deps.LeaveNotice)
@@ -148,6 +150,7 @@
 	if err != nil {
 		_ = f.http.Close()
 	}
+	f.calls.Wait()
 	f.wg.Wait()
 	return err
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -183,9 +183,49 @@
 	}
 }
 
+// A front that is closed cuts off what does not end in time, and has settled it when
+// Close returns: what is still reserved when a node gives its budgets back is billed.
+func TestCloseSettles(t *testing.T) {
+	is := is.New(t)
+	p := &purse{settled: map[string]quota.Tokens{}, done: make(chan struct{})}
+	f, url := startFront(t, p, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", "r1")
+		_, _ = io.WriteString(w, event(0))
+		_ = http.NewResponseController(w).Flush()
+		withdrawn(r)
+	})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/plan/a", strings.NewReader("body"))
+	is.NoErr(err)
+	req.Host = "h.example"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "k1")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	first := make([]byte, len(event(0)))
+	_, err = io.ReadFull(resp.Body, first)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	is.True(f.Close(ctx) != nil) // it says that a request was cut off
+	p.mu.Lock()
+	used, settled := p.settled["r1"]
+	p.mu.Unlock()
+	is.True(settled)
+	is.Equal(used, quota.Tokens(903))
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil) // what is cut off must not look whole
+	_ = resp.Body.Close()
+}
+
 // start serves callers with the upstream, if there is one, and returns the front's
 // URL.
 func start(t *testing.T, p *purse, upstream http.HandlerFunc) string {
+	t.Helper()
+	_, url := startFront(t, p, upstream)
+	return url
+}
+
+func startFront(t *testing.T, p *purse, upstream http.HandlerFunc) (*front.Front, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -210,5 +250,5 @@
 		addr := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 		f.SetUpstreams([]fleet.Upstream{{ID: "i-1", Service: "model", Addr: addr}})
 	}
-	return "http://" + ln.Addr().String()
+	return f, "http://" + ln.Addr().String()
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -243,11 +243,20 @@
 // SetSeeds replaces the seeds.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) { n.mesh.SetSeeds(seeds) }
 
-// Close turns unready, finishes the requests in progress until ctx ends, gives
-// the budgets back and stops.
+// leaveTime is kept of the time to stop for giving the budgets back: what is not given
+// back is billed.
+const leaveTime = 700 * time.Millisecond
+
+// Close turns unready, finishes the requests in progress until shortly before ctx
+// ends, gives the budgets back and stops.
 func (n *Node) Close(ctx context.Context) (int, error) {
 	n.mesh.Update(true, func(p *fleet.Peer) { p.Draining = true })
-	err := n.front.Close(ctx)
+	serve, cancel := ctx, context.CancelFunc(func() {})
+	if end, ok := ctx.Deadline(); ok {
+		serve, cancel = context.WithDeadline(ctx, end.Add(-leaveTime))
+	}
+	defer cancel()
+	err := n.front.Close(serve)
 	n.budgets.leave(ctx)
 	n.mesh.Update(true, func(p *fleet.Peer) { p.Left = true })
 	for _, s := range n.servers {
