Stock a restarted holder as before, and give back at once what is wanted

Where another holder waited for tokens, the one that had them answered with its next statement, 150 ms later, and the request was refused after 250 ms. Ruled out: witnesses and marks of that node (the grant was too small). Change: the ledger keeps what an ended holder had of each customer, and the one at its address takes that over as its estimate. A holder that is told that another one waits gives back at once. A request waits for up to half a second while control answers. Tests: TestRestartedHolderIsStocked (fails without the taking over), TestWantedIsGivenBackAtOnce.

--- a/core/demand/rate.go
+++ b/core/demand/rate.go
@@ -35,6 +35,16 @@
 	r.at = now
 }
 
+// seededAge is the age of a seeded estimate, in half-lives: it is not young any more.
+const seededAge = 8
+
+// Seed starts from a rate that was known before.
+func (r *Rate) Seed(now time.Time, perSecond float64) {
+	r.at = now
+	r.since = now.Add(-seededAge * r.halfLife)
+	r.sum = perSecond * r.halfLife.Seconds() / math.Ln2
+}
+
 // Add counts n.
 func (r *Rate) Add(now time.Time, n float64) {
 	r.decay(now)
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -65,6 +65,8 @@
 	keep    Tokens
 	unspent Tokens
 	rate    demand.Rate
+	// seeded is set where the rate was taken over and not stated since.
+	seeded bool
 	// statedSpent and statedReserved are those of the latest statement.
 	statedSpent, statedReserved Tokens
 	// largest is the worst case of the largest request since largestAt.
@@ -292,7 +294,7 @@
 
 // changed tells whether the ledger should hear of a customer.
 func (p *purse) changed() bool {
-	return !p.known || p.recall || len(p.waiting) > 0 || p.spent != p.statedSpent || p.reserved != p.statedReserved
+	return !p.known || p.recall || p.seeded || len(p.waiting) > 0 || p.spent != p.statedSpent || p.reserved != p.statedReserved
 }
 
 func (h *Holder) customers() []string {
@@ -306,7 +308,7 @@
 
 func (h *Holder) usage(now time.Time, customer string, p *purse) Usage {
 	used := p.spent + p.reserved
-	p.statedSpent, p.statedReserved = p.spent, p.reserved
+	p.statedSpent, p.statedReserved, p.seeded = p.spent, p.reserved, false
 	u := Usage{Customer: customer, Spent: p.spent, Reserved: p.reserved, Need: p.need(), Rate: p.rate.PerSecond(now), Largest: p.largest}
 	if h.left || p.recall {
 		u.GiveBack = true
@@ -345,10 +347,16 @@
 		if !ok {
 			continue
 		}
+		if !p.known && a.Rate > p.rate.PerSecond(now) {
+			p.rate.Seed(now, a.Rate)
+			p.seeded = true
+		}
 		p.known = true
 		p.unbounded = a.Unbounded
 		p.granted, p.mark, p.start = a.Granted, a.Mark, a.Start
 		p.recall, p.keep, p.unspent = a.Recall, a.Keep, a.Unspent
+		// What another one waits for is given back at once.
+		h.short = h.short || a.Wanted && a.Granted > max(a.Keep, p.spent+p.reserved+p.need())
 	}
 }
 
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -76,6 +76,9 @@
 	Heard     uint64         `cbor:"6,keyasint"`
 	Witnesses []fleet.NodeID `cbor:"7,keyasint,omitempty"`
 	Keepers   []fleet.NodeID `cbor:"8,keyasint,omitempty"`
+	// Demand is what an ended holder had of each customer, in tokens per second. The one
+	// that comes to its address takes it over until it has an answer.
+	Demand map[string]float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Ledger is the replicated state of all budgets. Its fields are exported for
@@ -169,12 +172,16 @@
 		if !l.replace(s) {
 			return nil, false
 		}
-		h = &Life{Addr: s.Addr}
+		h = &Life{Addr: s.Addr, Demand: l.inherit(s.Addr)}
 		l.Holders[s.Holder] = h
 	}
 	if h.Ended {
 		return nil, true
 	}
+	young := s.Heard == 0
+	if !young {
+		h.Demand = nil
+	}
 	fresh := s.Seq > h.Seq
 	if fresh {
 		if s.Heard == h.Seq {
@@ -184,10 +191,17 @@
 	}
 	out := make([]Allowance, 0, len(s.Uses))
 	for _, u := range s.Uses {
+		// A holder that was restarted is stocked as before, so that a cut that comes
+		// soon finds it ready.
+		u.Rate = max(u.Rate, h.Demand[u.Customer])
 		if fresh {
 			l.take(s.Holder, u)
 		}
-		out = append(out, l.allow(now.At, s.Holder, u, fresh))
+		a := l.allow(now.At, s.Holder, u, fresh)
+		if young {
+			a.Rate = u.Rate
+		}
+		out = append(out, a)
 	}
 	if s.Left && fresh {
 		l.end(s.Holder, Evidence{Witnessed: true})
@@ -208,7 +222,7 @@
 			continue
 		}
 		out = append(out, Allowance{
-			Customer: c, Granted: r.Granted, Mark: r.Mark, Start: r.Start, Recall: true, Keep: r.Used, Unspent: a.unused(),
+			Customer: c, Granted: r.Granted, Mark: r.Mark, Start: r.Start, Recall: true, Keep: r.Used, Wanted: true, Unspent: a.unused(),
 		})
 	}
 	return out
@@ -225,15 +239,31 @@
 	return !ok
 }
 
+// inherit takes the demand of the holder that was ended last at an address.
+func (l *Ledger) inherit(addr netip.AddrPort) map[string]float64 {
+	for _, h := range l.Holders {
+		if h.Addr == addr && h.Demand != nil {
+			d := h.Demand
+			h.Demand = nil
+			return d
+		}
+	}
+	return nil
+}
+
 // end bills an ended holder the most that it can have spent. The rest returns to
 // the customers.
 func (l *Ledger) end(id fleet.NodeID, e Evidence) {
-	l.Holders[id].Ended = true
+	h := l.Holders[id]
+	h.Ended = true
+	l.inherit(h.Addr)
+	h.Demand = map[string]float64{}
 	for c, a := range l.Accounts {
 		r, ok := a.Rows[id]
 		if !ok {
 			continue
 		}
+		h.Demand[c] = r.Rate
 		delete(a.Rows, id)
 		bill := e.bill(r, c)
 		a.Billed += bill
@@ -288,7 +318,7 @@
 		fair = 0
 	}
 	if keep := max(fair, u.Need); wanted || float64(r.Granted-r.Used) > recallAbove*float64(keep) {
-		out.Recall, out.Keep = true, r.Used+keep
+		out.Recall, out.Keep, out.Wanted = true, r.Used+keep, wanted
 	}
 	return out
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -276,3 +276,48 @@
 	is.True(p.ledger.Ended("entry-1"))
 	is.Equal(p.ledger.Accounts["acme"].Billed, quota.Tokens(0))
 }
+
+// A holder that was restarted is stocked like the one before it, also if its first
+// answer is lost: a cut that came soon after a restart found it with a tenth.
+func TestRestartedHolderIsStocked(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000_000)
+	other := quota.NewHolder("entry-2", addrB, quota.DefaultOptions(), p.now)
+	other.SetCustomers(p.now, []string{"acme"})
+	p.book(other, other.Statement(p.now))
+	p.demand(is)
+	stocked := p.ledger.Accounts["acme"].Rows["entry-1"].Granted - p.ledger.Accounts["acme"].Rows["entry-1"].Used
+	is.True(stocked > 50_000)
+	p.holder.Leave()
+	p.exchange()
+	is.True(p.ledger.Ended("entry-1"))
+	p.now = p.now.Add(time.Second)
+	next := quota.NewHolder("entry-3", addrA, quota.DefaultOptions(), p.now)
+	next.SetCustomers(p.now, []string{"acme"})
+	lost := next.Statement(p.now)
+	_, booked := p.ledger.Apply(quota.Moment{At: p.now, Term: 1, By: 1}, lost)
+	is.True(booked)
+	next.Lost(lost.Seq)
+	p.book(next, next.Statement(p.now))
+	is.True(p.ledger.Accounts["acme"].Rows["entry-3"].Granted > stocked*8/10)
+	p.book(next, next.Statement(p.now)) // now by its own estimate
+	is.True(p.ledger.Accounts["acme"].Rows["entry-3"].Granted > stocked*8/10)
+	is.True(p.ledger.Accounts["acme"].Rows["entry-3"].Start > 0)
+}
+
+// What another holder waits for is given back at once, not with the next statement.
+func TestWantedIsGivenBackAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPair(100_000)
+	p.demand(is)
+	other := quota.NewHolder("entry-2", addrB, quota.DefaultOptions(), p.now)
+	other.SetCustomers(p.now, []string{"acme"})
+	p.book(other, other.Statement(p.now))
+	is.True(other.Reserve(p.now, "big", "acme", 60_000) != nil)
+	p.book(other, other.Statement(p.now))
+	p.exchange()
+	is.True(p.holder.Short())
+	p.exchange()
+	p.book(other, other.Statement(p.now))
+	is.NoErr(other.Reserve(p.now, "big", "acme", 60_000))
+}
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -70,6 +70,11 @@
 	// Recall is set where the holder is asked to give back what it has above Keep.
 	Recall bool
 	Keep   Tokens
+	// Wanted is set where another holder waits for what this one is to give back.
+	Wanted bool
+	// Rate is the demand of the holder that this one replaced, in tokens per second; 0
+	// but in the first answer.
+	Rate float64
 	// Unspent is what the customer has left over all holders if all requests in
 	// progress use their worst case, as far as the holders have said.
 	Unspent Tokens
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -23,7 +23,7 @@
 	firstStatementTime = 100 * time.Millisecond
 	// reserveWait is how long a request waits for tokens that the customer has,
 	// while the control group answers.
-	reserveWait = 250 * time.Millisecond
+	reserveWait = 500 * time.Millisecond
 	// answerAge is the age of the latest answer from which on no other is expected.
 	answerAge = 500 * time.Millisecond
 )
