Tell other nodes of an upstream's failures, and count its 5xx as such

Ruled out: repeats (streams that can't be resumed may not be repeated), heartbeats (they go on). Change: an answer of 5xx is a failure. A node tells the others of a failure, unless most of its own latest requests failed; what others tell counts half. An answer takes back one failure, so that an upstream that fails a part of its requests is left out too, and only five answers in a row make it one that never failed.

--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -52,7 +53,8 @@
 	// RereadCost weighs the time that an engine spends on reading what another one
 	// keeps: it is lost to other requests.
 	RereadCost float64
-	// EjectAfter is the number of failures in a row that leave an upstream out.
+	// EjectAfter is the number of this node's failures in a row that leave an upstream
+	// out. What other nodes tell of counts half.
 	EjectAfter int
 	// EjectTime is how long it is left out the first time.
 	EjectTime time.Duration
@@ -76,6 +78,8 @@
 	byHash   map[uint64]*target
 	services map[string][]*target
 	turn     uint64
+	// recent holds this node's latest outcomes, a set bit for each failure.
+	recent uint16
 	// candidates and homes are scratch space of a decision.
 	candidates []candidate
 	homes      []home
@@ -285,25 +289,37 @@
 	t.observe(readOverhead+c.Wait+t.reading(c.Uncached), took)
 }
 
-// Ended notes how an attempt went. An upstream that fails again and again is left
-// out for a while, unless too many are left out already.
-func (b *Balancer) Ended(now time.Time, c Choice, o Outcome) {
+// Ended notes how an attempt went, and returns what the other nodes should know of it.
+func (b *Balancer) Ended(now time.Time, c Choice, o Outcome) (n Notice, tell bool) {
 	t, ok := b.targets[c.Upstream.ID]
 	if !ok {
-		return
+		return Notice{}, false
 	}
 	t.settle(c.Ticket)
 	t.inFlight = max(t.inFlight-1, 0)
 	switch o {
 	case Served:
-		t.failures, t.ejected = 0, 0
+		b.recent <<= 1
+		t.health.served()
 		t.outUntil = time.Time{}
 	case Failed, TimedOut:
-		t.failures++
-		if t.failures >= b.opts.EjectAfter && b.mayEject(now, t) {
-			t.outUntil = now.Add(b.opts.EjectTime << min(t.ejected, 3))
-			t.ejected++
-		}
+		b.recent = b.recent<<1 | 1
+		b.strike(now, t, ownStrike)
+		// Where most requests fail, the fault is likely to be this node's own.
+		return Notice{Upstream: t.hash, Failed: true}, bits.OnesCount16(b.recent) <= maxToldFailures
+	}
+	return Notice{}, false
+}
+
+// maxToldFailures is the number of failures among a node's latest 16 outcomes up to
+// which it tells others of them.
+const maxToldFailures = 8
+
+// strike notes a failure of an upstream. One that fails again and again is left out for
+// a while, unless too many are left out already.
+func (b *Balancer) strike(now time.Time, t *target, weight float64) {
+	if t.health.strike(now, weight) >= float64(b.opts.EjectAfter) && !now.Before(t.outUntil) && b.mayEject(now, t) {
+		t.outUntil = now.Add(b.opts.EjectTime << t.health.eject())
 	}
 }
 
--- a/core/sched/notice.go
+++ b/core/sched/notice.go
@@ -5,22 +5,39 @@
 	"time"
 )
 
-// Notice tells other nodes that a prompt went to an upstream, so that they share
-// one view of the engines' work and caches. It may be lost.
+// Notice tells other nodes that a prompt went to an upstream, or that an upstream
+// failed, so that they share one view of the upstreams' work, caches and health. It may
+// be lost.
 type Notice struct {
 	// Upstream is the hash of the upstream's id.
 	Upstream uint64
+	// Failed is set where a request failed at the upstream; all below is empty then.
+	Failed bool
 	// Uncached are the tokens that the upstream is believed to have to read.
 	Uncached int
 	Parts    []PartKey
 }
 
+// The kinds of notices in their encoding.
+const (
+	noticeSent uint8 = iota + 1
+	noticeFailed
+)
+
 // maxNoticeParts bounds the parts of one notice.
 const maxNoticeParts = 64
 
 // Append adds the notice's encoding.
 func (n Notice) Append(b []byte) []byte {
+	kind := noticeSent
+	if n.Failed {
+		kind = noticeFailed
+	}
+	b = append(b, kind)
 	b = binary.LittleEndian.AppendUint64(b, n.Upstream)
+	if n.Failed {
+		return b
+	}
 	b = binary.AppendUvarint(b, uint64(n.Uncached))
 	b = binary.AppendUvarint(b, uint64(len(n.Parts)))
 	for _, p := range n.Parts {
@@ -32,8 +49,15 @@
 
 // ParseNotice reads a notice; ok is false if it is damaged.
 func ParseNotice(b []byte) (n Notice, ok bool) {
-	r := reader{b: b}
+	if len(b) == 0 || b[0] != noticeSent && b[0] != noticeFailed {
+		return Notice{}, false
+	}
+	r := reader{b: b[1:]}
 	n.Upstream = r.fixed()
+	if b[0] == noticeFailed {
+		n.Failed = true
+		return n, !r.bad
+	}
 	n.Uncached = r.count()
 	parts := r.count()
 	if r.bad || parts > maxNoticeParts {
@@ -76,7 +100,12 @@
 
 // OnNotice takes in another node's notice.
 func (b *Balancer) OnNotice(now time.Time, n Notice) {
-	if t, ok := b.byHash[n.Upstream]; ok {
+	t, ok := b.byHash[n.Upstream]
+	switch {
+	case !ok:
+	case n.Failed:
+		b.strike(now, t, toldStrike)
+	default:
 		t.sent(now, n.Parts, n.Uncached)
 	}
 }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -188,13 +188,19 @@
 
 func TestNoticeEncoding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := sched.Notice{Upstream: rapid.Uint64().Draw(t, "upstream"), Uncached: rapid.IntRange(0, 1<<20).Draw(t, "uncached")}
-		for range rapid.IntRange(0, 5).Draw(t, "parts") {
+		n := sched.Notice{Upstream: rapid.Uint64().Draw(t, "upstream"), Failed: rapid.Bool().Draw(t, "failed")}
+		parts := rapid.IntRange(0, 5).Draw(t, "parts")
+		if n.Failed {
+			parts = 0
+		} else {
+			n.Uncached = rapid.IntRange(0, 1<<20).Draw(t, "uncached")
+		}
+		for range parts {
 			n.Parts = append(n.Parts, sched.PartKey{Key: rapid.Uint64().Draw(t, "key"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
 		}
 		b := n.Append(nil)
 		got, ok := sched.ParseNotice(b)
-		if !ok || got.Upstream != n.Upstream || got.Uncached != n.Uncached || len(got.Parts) != len(n.Parts) {
+		if !ok || got.Upstream != n.Upstream || got.Failed != n.Failed || got.Uncached != n.Uncached || len(got.Parts) != len(n.Parts) {
 			t.Fatalf("got %+v, want %+v", got, n)
 		}
 		if cut := rapid.IntRange(0, len(b)-1).Draw(t, "cut"); cut < len(b) {
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -47,10 +47,9 @@
 	slow float64
 	// due holds when the first tokens of this node's requests are expected that have
 	// not come yet, by ticket.
-	due      []pending
-	tickets  uint64
-	failures int
-	ejected  int
+	due     []pending
+	tickets uint64
+	health  health
 	// outUntil is when an upstream that was left out may be tried again.
 	outUntil time.Time
 }
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -106,13 +106,13 @@
 	_, err := buf.ReadFrom(io.LimitReader(a.Body, maxHeld))
 	if err == nil && buf.Len() < maxHeld {
 		if a.Status >= http.StatusInternalServerError && c.mayRepeat() {
-			return verdict{outcome: sched.Served, refusal: errLost, mayHaveRun: true}
+			return verdict{outcome: sched.Failed, refusal: errLost, mayHaveRun: true}
 		}
 		copyHeader(c.w.Header(), a.Header)
 		c.w.Header().Set("Content-Length", strconv.Itoa(buf.Len()))
 		c.beginAnswer(a.Status)
 		_, _ = c.w.Write(buf.Bytes())
-		return done(sched.Served)
+		return done(outcomeOf(a.Status))
 	}
 	if err == nil {
 		return c.passThrough(ctx, a, &buf)
@@ -124,6 +124,14 @@
 	return verdict{outcome: sched.Failed, refusal: errLost, mayHaveRun: true}
 }
 
+// outcomeOf is how an upstream that answered did.
+func outcomeOf(status int) sched.Outcome {
+	if status >= http.StatusInternalServerError {
+		return sched.Failed
+	}
+	return sched.Served
+}
+
 // beginAnswer passes on the head of an answer that is no stream. From then on the
 // customer is billed: the worst case, since the tokens of such an answer can't be
 // counted, or the prompt alone if the upstream failed.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -214,5 +214,7 @@
 func (f *Front) ended(c sched.Choice, o sched.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.balancer.Ended(time.Now(), c, o)
+	if n, tell := f.balancer.Ended(time.Now(), c, o); tell {
+		f.deps.Tell(n)
+	}
 }
