--- a/core/state/command.go
+++ b/core/state/command.go
@@ -46,7 +46,7 @@
 // Publish proposes a routing policy. The highest number is in force.
 type Publish struct {
 	Number uint64 `cbor:"number"`
-	// Data is the policy as its operator wrote it.
+	// Data is the policy, packed by the node that its operator sent it to.
 	Data []byte `cbor:"data"`
 	// Prepaid are the customers' prepaid tokens, as the policy says.
 	Prepaid map[string]escrow.Tokens `cbor:"prepaid"`
--- a/core/state/publish.go
+++ b/core/state/publish.go
@@ -2,7 +2,7 @@
 
 import "dotterelgap/core/quota"
 
-// Published is a routing policy as its operator wrote it.
+// Published is a routing policy, packed by the node that its operator sent it to.
 type Published struct {
 	Number uint64 `cbor:"number"`
 	Data   []byte `cbor:"data"`
--- a/io/node/policy.go
+++ b/io/node/policy.go
@@ -80,7 +80,11 @@
 	if p.Number <= n.number() {
 		return
 	}
-	decoded, err := n.deps.Interface.Decode(p.Data)
+	data, err := unpack(p.Data)
+	var decoded *policy.Policy
+	if err == nil {
+		decoded, err = n.deps.Interface.Decode(data)
+	}
 	if err != nil {
 		n.log.Error("node: an accepted policy can't be read", zap.Uint64("policy", p.Number), zap.Error(err))
 		return
@@ -151,7 +155,11 @@
 
 // Publish puts a policy in force. An error says that it may or may not be.
 func (n *Node) Publish(ctx context.Context, p *policy.Policy, data []byte) error {
-	args := state.Publish{Number: p.Number, Data: data, Prepaid: map[string]escrow.Tokens{}}
+	packed, err := pack(data)
+	if err != nil {
+		return err
+	}
+	args := state.Publish{Number: p.Number, Data: packed, Prepaid: map[string]escrow.Tokens{}}
 	for c, tokens := range p.Prepaid() {
 		args.Prepaid[c] = escrow.Tokens(tokens)
 	}
@@ -162,7 +170,7 @@
 		return err
 	}
 	if reply.Accepted {
-		n.offer(state.Published{Number: p.Number, Data: data})
+		n.offer(state.Published{Number: p.Number, Data: packed})
 	}
 	return nil
 }
@@ -184,5 +192,5 @@
 	if p.Number == 0 {
 		return nil, trace.Wrap(&NoPolicyError{})
 	}
-	return p.Data, nil
+	return unpack(p.Data)
 }
