Judge ended holders once at a time, by those who have the entry, and feed who waits

Three faults around the end of a budget's holders.

A newcomer repeats its statement every 100 ms; each repeat asked all witnesses and keepers again, and an undecided one went round all control hosts. Now one judgement a holder runs at a time, and an undecided answer says so. A member's word carries the index of its last entry now, and those that lag don't count where the term's leader or a majority has the entry (quota.SinceEntry). What a holder gave back for one that waits was granted to it again in the same step, as its fair part. It isn't any more.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -305,6 +305,11 @@
 	}
 	unused := a.unused()
 	fair := l.fair(now, a, id, unused)
+	wanted := a.wanted(now, id)
+	if wanted {
+		// What it gives back is not handed to it again.
+		fair = 0
+	}
 	if fresh {
 		more := min(max(fair, u.Need)-(r.Granted-r.Used), a.Paid-a.committed())
 		r.Granted += max(more, 0)
@@ -313,10 +318,6 @@
 		a.noteShort(now, id, u.Need > r.Granted-r.Used)
 	}
 	out := Allowance{Customer: u.Customer, Granted: r.Granted, Mark: r.Mark, Start: r.Start, Unspent: unused}
-	wanted := a.wanted(now, id)
-	if wanted {
-		fair = 0
-	}
 	if keep := max(fair, u.Need); wanted || float64(r.Granted-r.Used) > recallAbove*float64(keep) {
 		out.Recall, out.Keep, out.Wanted = true, r.Used+keep, wanted
 	}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -321,3 +321,26 @@
 	p.book(other, other.Statement(p.now))
 	is.NoErr(other.Reserve(p.now, "big", "acme", 60_000))
 }
+
+// What a holder gives back for one that waits goes to that one, also where the former
+// has the higher demand: near the end of a budget a request was refused for 20 s though
+// twice what it needed was left.
+func TestGivenBackGoesToWhoWaits(t *testing.T) {
+	is := is.New(t)
+	p := newPair(22_000)
+	p.demand(is) // 20,000 are spent by the holder with all of the demand
+	other := quota.NewHolder("entry-2", addrB, quota.DefaultOptions(), p.now)
+	other.SetCustomers(p.now, []string{"acme"})
+	p.book(other, other.Statement(p.now))
+	const worst = 900
+	for range 10 {
+		if other.Reserve(p.now, "r1", "acme", worst) == nil {
+			return
+		}
+		p.now = p.now.Add(20 * time.Millisecond)
+		p.book(other, other.Statement(p.now))
+		p.exchange()
+		p.book(other, other.Statement(p.now))
+	}
+	t.Fatalf("%+v", p.ledger.Accounts["acme"].Rows["entry-1"])
+}
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -38,9 +38,15 @@
 	State    State
 	Snapshot Snapshot
 	Entries  []Entry
-	// WrittenAt is the time of day, by the host's own clock, at which the last
-	// entry of each term was written.
-	WrittenAt map[uint64]time.Time
+	// Written is when the last entry of each term of late was written.
+	Written map[uint64]Written
+}
+
+// Written is when a host wrote the last entry of a term, the one at Index, by its own
+// time of day.
+type Written struct {
+	At    time.Time `cbor:"1,keyasint"`
+	Index uint64    `cbor:"2,keyasint"`
 }
 
 // Params create a Machine.
@@ -319,6 +325,22 @@
 	return m.log.from(m.log.snapshot.Index+1, len(m.log.entries))
 }
 
+// LastOfTerm is the index of the last entry of a term that the log holds, or 0.
+func (m *Machine) LastOfTerm(term uint64) uint64 {
+	for i := m.log.last(); i > m.log.base; i-- {
+		switch t, _ := m.log.term(i); {
+		case t == term:
+			return i
+		case t < term:
+			return 0
+		}
+	}
+	if m.log.baseTerm == term {
+		return m.log.base
+	}
+	return 0
+}
+
 // HardState returns the term and vote.
 func (m *Machine) HardState() State {
 	return m.state
--- a/core/raft/take_test.go
+++ b/core/raft/take_test.go
@@ -111,3 +111,22 @@
 	}
 	is.True(m.Current())
 }
+
+// The last entry of a term is found in the log, also where a snapshot covers it and it is
+// kept, and as the snapshot's own.
+func TestLastOfTerm(t *testing.T) {
+	is := is.New(t)
+	saved := raft.Bootstrap(raft.Member{ID: 1})
+	for i, term := range []uint64{1, 1, 3, 3, 3} {
+		saved.Entries = append(saved.Entries, raft.Entry{Index: uint64(2 + i), Term: term})
+	}
+	saved.State.Term = 3
+	m := raft.New(raft.Params{Self: 1, Saved: saved, Rand: rand.New(rand.NewPCG(1, 1)), Now: time.Unix(0, 0)})
+	for term, last := range map[uint64]uint64{0: 0, 1: 3, 2: 0, 3: 6, 4: 0} {
+		is.Equal(m.LastOfTerm(term), last)
+	}
+	fresh := raft.New(raft.Params{Self: 1, Saved: raft.Saved{Snapshot: raft.Snapshot{Index: 9, Term: 2}},
+		Rand: rand.New(rand.NewPCG(1, 1)), Now: time.Unix(0, 0)})
+	is.Equal(fresh.LastOfTerm(2), uint64(9))
+	is.Equal(fresh.LastOfTerm(1), uint64(0))
+}
--- a/io/ctrl/clock.go
+++ b/io/ctrl/clock.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"dotterelgap/core/raft"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -13,27 +15,33 @@
 	boot time.Duration
 	// written holds boot times of this process, before those times of day of
 	// earlier processes.
-	written map[uint64]time.Duration
-	before  map[uint64]time.Time
+	written map[uint64]written
+	before  map[uint64]raft.Written
+}
+
+// written is when an entry was written, on the boot clock.
+type written struct {
+	at    time.Duration
+	index uint64
 }
 
-func newClock(before map[uint64]time.Time) *clock {
-	return &clock{wall: time.Now().Round(0), boot: bootTime(), written: map[uint64]time.Duration{}, before: before}
+func newClock(before map[uint64]raft.Written) *clock {
+	return &clock{wall: time.Now().Round(0), boot: bootTime(), written: map[uint64]written{}, before: before}
 }
 
 // now is the time of day at the process's start, and the time since.
 func (c *clock) now() time.Time { return c.wall.Add(bootTime() - c.boot) }
 
-// wrote notes that an entry of a term is about to be written.
-func (c *clock) wrote(term uint64) { c.written[term] = bootTime() }
+// wrote notes that an entry is about to be written.
+func (c *clock) wrote(e raft.Entry) { c.written[e.Term] = written{bootTime(), e.Index} }
 
-// since is how long ago the last entry of a term was written.
-func (c *clock) since(term uint64) (time.Duration, bool) {
-	if at, ok := c.written[term]; ok {
-		return bootTime() - at, true
+// since is how long ago the last entry of a term was written, and its index.
+func (c *clock) since(term uint64) (ago time.Duration, index uint64, ok bool) {
+	if w, ok := c.written[term]; ok {
+		return bootTime() - w.at, w.index, true
 	}
-	at, ok := c.before[term]
-	return time.Now().Round(0).Sub(at), ok
+	w, ok := c.before[term]
+	return time.Now().Round(0).Sub(w.At), w.Index, ok
 }
 
 // steady is the host's time for the log.
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -70,6 +70,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	metrics *metrics
+	judging judgements
 
 	// All below belongs to the loop.
 	machine  *raft.Machine
@@ -116,7 +117,7 @@
 		book:    map[raft.MemberID]netip.AddrPort{},
 		duty:    newDuty(fleet.NewPresence(suspectAfter)),
 		metrics: newMetrics(),
-		clock:   newClock(deps.Saved.WrittenAt),
+		clock:   newClock(deps.Saved.Written),
 		behind:  make(chan struct{}, 1),
 	}
 	if h.deps.OnPolicy == nil {
@@ -224,7 +225,7 @@
 	}
 	h.metrics.synced(len(out.Entries))
 	if n := len(out.Entries); n > 0 {
-		h.clock.wrote(out.Entries[n-1].Term)
+		h.clock.wrote(out.Entries[n-1])
 	}
 	return h.deps.Store.Append(out.State, out.Entries)
 }
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	"dotterelgap/core/fleet"
@@ -111,17 +112,51 @@
 		return err
 	}
 	st := *args
-	var decided bool
-	if st.Replaces, decided = h.evidence(st, bootTime()); !decided {
-		reply.NotLeader = true
-		return nil
+	if r, ok := h.replaces(st); ok {
+		if !r.leading {
+			// This host may lead by the time that the statement is booked.
+			h.view(func(time.Time) { reply.Hint = h.hint() })
+			reply.Undecided = true
+			return nil
+		}
+		var decided bool
+		if st.Replaces, decided = h.evidence(r, st, bootTime()); !decided {
+			reply.Undecided = true
+			return nil
+		}
 	}
 	res, hint := h.commit(state.Command{Quota: &st})
-	reply.Hint, reply.Allowances, reply.Ended = hint, res.Allowances, res.Ended
-	reply.NotLeader = reply.NotLeader || res.Unbooked
+	reply.Hint, reply.Allowances, reply.Ended, reply.Undecided = hint, res.Allowances, res.Ended, res.Unbooked
 	return nil
 }
 
+// judgements are the holders whose end is being judged. A holder that waits repeats its
+// statement, and one judgement at a time is enough.
+type judgements struct {
+	mu   sync.Mutex
+	open map[fleet.NodeID]struct{}
+}
+
+// begin returns false if a judgement is in progress.
+func (j *judgements) begin(id fleet.NodeID) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if _, ok := j.open[id]; ok {
+		return false
+	}
+	if j.open == nil {
+		j.open = map[fleet.NodeID]struct{}{}
+	}
+	j.open[id] = struct{}{}
+	return true
+}
+
+func (j *judgements) end(id fleet.NodeID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.open, id)
+}
+
 // replaced is what is known of a holder that a newcomer replaces.
 type replaced struct {
 	id   fleet.NodeID
@@ -165,15 +200,11 @@
 // start of the newcomer's process, and by the words of its witnesses. It is not
 // decided while those who may know more can't be reached. The statement came at
 // the boot time arrived.
-func (h *Host) evidence(st quota.Statement, arrived time.Duration) (e quota.Ending, decided bool) {
-	r, ok := h.replaces(st)
-	if !ok {
-		return quota.Ending{}, true
-	}
-	if !r.leading {
-		// This host may lead by the time that the statement is booked.
+func (h *Host) evidence(r replaced, st quota.Statement, arrived time.Duration) (e quota.Ending, decided bool) {
+	if !h.judging.begin(r.id) {
 		return quota.Ending{}, false
 	}
+	defer h.judging.end(r.id)
 	e.Holder, e.Seq = r.id, r.life.Seq
 	e.Evidence, decided = h.judge(r, st, arrived)
 	return e, decided
@@ -254,14 +285,14 @@
 	return words
 }
 
-// elapsedSince asks all members how long ago they wrote the last entry of a
-// moment's term, and takes the longest: a clock that was set back makes it
-// shorter. Where the term's leader is not among those that answer, a majority must
-// be, and an election time is added: a leader that they hear from later than that
-// steps down.
+// elapsedSince asks all members how long ago they wrote the last entry of a moment's
+// term; see quota.SinceEntry.
 func (h *Host) elapsedSince(m quota.Moment) (time.Duration, bool) {
 	var members []raft.Member
-	if !h.view(func(time.Time) { members = h.machine.Status().Members.Members }) {
+	var last uint64
+	if !h.view(func(time.Time) {
+		members, last = h.machine.Status().Members.Members, h.machine.LastOfTerm(m.Term)
+	}) {
 		return 0, false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), elapsedTimeout)
@@ -275,22 +306,12 @@
 			replies <- r
 		}()
 	}
-	var longest time.Duration
-	known := 0
-	fromLeader := false
+	words := make([]quota.Elapsed, 0, len(members))
 	for range members {
 		r := <-replies
-		if !r.Known {
-			continue
-		}
-		known++
-		longest = max(longest, r.Since)
-		fromLeader = fromLeader || uint64(r.Member) == m.By
-	}
-	if !fromLeader {
-		longest += raft.DefaultElection
+		words = append(words, quota.Elapsed{Known: r.Known, Since: r.Since, Index: r.Index, Leader: uint64(r.Member) == m.By})
 	}
-	return longest, fromLeader || known > len(members)/2
+	return quota.SinceEntry(words, last, len(members), raft.DefaultElection)
 }
 
 // Elapsed tells how long ago this host wrote the last entry of a term.
@@ -301,7 +322,7 @@
 	}
 	h.view(func(time.Time) {
 		reply.Member = h.deps.Identity.Member
-		reply.Since, reply.Known = h.clock.since(args.Term)
+		reply.Since, reply.Index, reply.Known = h.clock.since(args.Term)
 	})
 	return nil
 }
--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -24,6 +24,9 @@
 	Entries []raft.Entry `cbor:"2,keyasint,omitempty"`
 	// At is the time of day at which the batch was to be written.
 	At time.Time `cbor:"3,keyasint"`
+	// Written is set in the first record of a compacted log: when the entries of the
+	// terms of late were written, those that are gone among them.
+	Written map[uint64]raft.Written `cbor:"4,keyasint,omitempty"`
 }
 
 func frame(payload []byte) []byte {
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io/fs"
+	"maps"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"dotterelgap/core/codec"
@@ -25,6 +27,8 @@
 	fs  FS
 	dir string
 	log File
+	// written is when the last entries of the terms of late were written.
+	written map[uint64]raft.Written
 	// failed is set by the first error; after it nothing may be answered for.
 	failed error
 }
@@ -49,6 +53,7 @@
 	if err := s.openLog(&saved); err != nil {
 		return nil, id, saved, err
 	}
+	s.written = maps.Clone(saved.Written)
 	return s, id, saved, nil
 }
 
@@ -125,11 +130,10 @@
 
 // merge adds a record to what was read before it.
 func merge(saved *raft.Saved, r record) error {
-	if n := len(r.Entries); n > 0 {
-		if saved.WrittenAt == nil {
-			saved.WrittenAt = map[uint64]time.Time{}
-		}
-		saved.WrittenAt[r.Entries[n-1].Term] = r.At
+	if r.Written != nil {
+		saved.Written = r.Written
+	} else {
+		saved.Written = noteWritten(saved.Written, r)
 	}
 	if r.State != nil {
 		saved.State = *r.State
@@ -147,13 +151,35 @@
 	return nil
 }
 
+// keptTerms is the number of terms of which it is known when their entries were written.
+const keptTerms = 8
+
+// noteWritten adds the time of a record's last entry.
+func noteWritten(written map[uint64]raft.Written, r record) map[uint64]raft.Written {
+	n := len(r.Entries)
+	if n == 0 {
+		return written
+	}
+	if written == nil {
+		written = map[uint64]raft.Written{}
+	}
+	last := r.Entries[n-1]
+	written[last.Term] = raft.Written{At: r.At, Index: last.Index}
+	if len(written) > keptTerms {
+		delete(written, slices.Min(slices.Collect(maps.Keys(written))))
+	}
+	return written
+}
+
 // Append writes a batch and returns once it is synced. After an error the
 // store refuses everything: what a failed sync left behind is not known.
 func (s *Store) Append(state *raft.State, entries []raft.Entry) error {
 	if s.failed != nil {
 		return s.failed
 	}
-	payload, err := codec.Marshal(record{State: state, Entries: entries, At: time.Now()})
+	r := record{State: state, Entries: entries, At: time.Now()}
+	s.written = noteWritten(s.written, r)
+	payload, err := codec.Marshal(r)
 	if err != nil {
 		return s.fail(err)
 	}
@@ -173,7 +199,7 @@
 	if err := s.replace(snapshotFile, snap); err != nil {
 		return s.fail(err)
 	}
-	payload, err := codec.Marshal(record{State: &state, Entries: tail})
+	payload, err := codec.Marshal(record{State: &state, Entries: tail, Written: s.written})
 	if err != nil {
 		return s.fail(err)
 	}
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io/fs"
 	"testing"
+	"time"
 
 	"dotterelgap/core/raft"
 	"dotterelgap/io/disk"
@@ -158,3 +159,28 @@
 	_, _, _, err = disk.Open(newMemFS(), dir)
 	is.True(errors.Is(err, fs.ErrNotExist))
 }
+
+// When the last entry of a term was written is known after a compaction and a restart
+// too, also where the entry itself is gone: the end of holders of budgets is judged by it.
+func TestWrittenOutlivesCompaction(t *testing.T) {
+	is := is.New(t)
+	fsys := newMemFS()
+	is.NoErr(disk.Create(fsys, dir, disk.Identity{Member: 7}, raft.Snapshot{Index: 1, Term: 1}))
+	s, _, saved, err := disk.Open(fsys, dir)
+	is.NoErr(err)
+	is.Equal(len(saved.Written), 0)
+	before := time.Now()
+	for i := range 4 {
+		is.NoErr(s.Append(nil, []raft.Entry{{Index: uint64(2 + i), Term: uint64(1 + i/2)}}))
+	}
+	tail := []raft.Entry{{Index: 5, Term: 2}}
+	is.NoErr(s.Compact(raft.Snapshot{Index: 4, Term: 2}, raft.State{Term: 2}, tail))
+	is.NoErr(s.Close())
+	_, _, saved, err = disk.Open(fsys, dir)
+	is.NoErr(err)
+	is.Equal(len(saved.Entries), 1)
+	for term, index := range map[uint64]uint64{1: 3, 2: 5} {
+		is.Equal(saved.Written[term].Index, index)
+		is.True(!saved.Written[term].At.Before(before.Round(0)))
+	}
+}
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -24,6 +24,8 @@
 	// reserveWait is how long a request waits for tokens that the customer has,
 	// while the control group answers.
 	reserveWait = 500 * time.Millisecond
+	// undecidedPause is the time after a statement that was not taken in yet.
+	undecidedPause = 100 * time.Millisecond
 	// answerAge is the age of the latest answer from which on no other is expected.
 	answerAge = 500 * time.Millisecond
 )
@@ -45,6 +47,8 @@
 	keeper atomic.Pointer[keeper]
 	// keptAt is when each witness last recorded something.
 	keptAt map[fleet.NodeID]time.Time
+	// notBefore is when the next statement may be sent.
+	notBefore time.Time
 	// lostAt is when control did not answer any more; zero while it does.
 	lostAt time.Time
 	// changed is closed with the next answer of control or record of a witness.
@@ -158,7 +162,7 @@
 // step sends a statement if one is due.
 func (b *budgets) step(ctx context.Context) {
 	b.mu.Lock()
-	if !b.holder.Due(time.Now()) {
+	if now := time.Now(); now.Before(b.notBefore) || !b.holder.Due(now) {
 		b.mu.Unlock()
 		return
 	}
@@ -183,6 +187,9 @@
 	case err != nil:
 		b.holder.Lost(s.Seq)
 		b.noteControl(err)
+	case reply.Undecided:
+		b.holder.Lost(s.Seq)
+		b.notBefore = time.Now().Add(undecidedPause)
 	case reply.Ended:
 		b.n.log.Warn("node: the control group has ended this holder of budgets", zap.String("holder", string(s.Holder)))
 		b.holder.Renew(fleet.NewNodeID(fleet.RoleEntry, b.n.deps.Rand))
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -142,6 +142,9 @@
 	Hint
 	Allowances []quota.Allowance
 	Ended      bool
+	// Undecided is set where the statement was not taken in, since the end of the holder
+	// that this one replaces is still being judged.
+	Undecided bool
 }
 
 // ElapsedArgs asks how long ago a host wrote the last entry of a term.
@@ -153,7 +156,9 @@
 type ElapsedReply struct {
 	Member raft.MemberID
 	Since  time.Duration
-	Known  bool
+	// Index is that of the entry.
+	Index uint64
+	Known bool
 }
 
 // FenceArgs asks a witness about a holder, and to refuse its further raises unless
