--- a/commands/check.go
+++ b/commands/check.go
@@ -2,26 +2,32 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 func newCheck(t *terminal) *ffcli.Command {
 	fs := newFlagSet(t, "dotterelgap check")
+	node := fs.Bool("node", false, "check a node's settings file in place of a document")
 	return &ffcli.Command{
 		Name:       "check",
-		ShortUsage: "dotterelgap check DOCUMENT",
-		ShortHelp:  "checks a document",
+		ShortUsage: "dotterelgap check [-node] FILE",
+		ShortHelp:  "checks a document, or a node's settings",
 		LongHelp: help(`
 Checks a document in full and lists every mistake with its file and line. It
-talks to nobody.
+talks to nobody. With -node the file is a node's settings.
 
 Example:
   dotterelgap check trial.json
+  dotterelgap check -node /etc/dotterelgap/node.json
 `),
 		FlagSet: fs,
 		Options: env(),
 		Exec: func(_ context.Context, args []string) error {
+			if *node {
+				return checkNode(t, args)
+			}
 			name, _, doc, err := oneDocument(args)
 			if err != nil {
 				return err
@@ -32,3 +38,20 @@
 		},
 	}
 }
+
+// checkNode checks a node's settings file.
+func checkNode(t *terminal, args []string) error {
+	if len(args) != 1 {
+		return &UsageError{Message: "needs one settings file"}
+	}
+	s, err := readNodeSettings(args[0])
+	if err != nil {
+		return err
+	}
+	kind := "no control host"
+	if s.DataDir != "" {
+		kind = "control host where its folder is one of " + strconv.Itoa(s.size())
+	}
+	t.printf("%s: node %s in %s, %d seeds, %s, no mistakes\n", args[0], s.Name, s.Place, len(s.Seeds), kind)
+	return nil
+}
