--- a/core/trail/line.go
+++ b/core/trail/line.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 	"time"
 )
 
@@ -30,7 +31,11 @@
 	return l, l.Message != "" && !l.At.IsZero()
 }
 
-// text is a field's text, without quotes.
+// oneLine puts text of several lines on one.
+var oneLine = strings.NewReplacer("\n\t", "; ", "\n", "; ")
+
+// text is a field's text, without quotes and on one line: joined errors stand on a line
+// each, and a timeline has one line for each event.
 func (l line) text(name string) string {
 	raw, ok := l.Fields[name]
 	if !ok {
@@ -38,7 +43,7 @@
 	}
 	var s string
 	if json.Unmarshal(raw, &s) == nil {
-		return s
+		return oneLine.Replace(s)
 	}
 	return string(raw)
 }
--- a/core/trail/reader_test.go
+++ b/core/trail/reader_test.go
@@ -32,3 +32,15 @@
 	is.True(strings.Contains(out.String(), "10:00:09.500  arrived"))
 	is.Equal(strings.Count(out.String(), "tokens were borrowed"), 3_500) // from 3 s before the request on
 }
+
+// An error that joins others stands on one line of the timeline.
+func TestJoinedErrorsStandOnOneLine(t *testing.T) {
+	is := is.New(t)
+	const log = `{"ts":"2026-01-01T10:00:09.900Z","msg":"node: the control group does not answer a statement","node":"n1","error":"no leader\n\tcontext deadline exceeded\nn2: no answer"}
+{"ts":"2026-01-01T10:00:10.000Z","msg":"front: served","node":"n1","request":"r1","took":"500ms"}`
+	r := trail.NewReader("r1")
+	is.NoErr(r.Read(strings.NewReader(log)))
+	var out strings.Builder
+	is.NoErr(r.Report().Write(&out))
+	is.True(strings.Contains(out.String(), "no leader; context deadline exceeded; n2: no answer\n"))
+}
