Bear a lost disk when all processes end at once

And a control host that had started, but had not opened its folder yet, said that its records were gone. Ruled out: the time of the holders' end (0.8 to 0.95 s, as it was). Change: half of the keepers must record a raise, and so many words are enough that one of them has it: two and two of three, as for witnesses. A keeper that is not open yet does not answer, and the leader waits for it as for one out of reach.

--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -8,8 +8,8 @@
 // was paid.
 //
 // While no answer comes, allowances open by and by, and beyond its starts a holder
-// spends only what half of its witnesses, other nodes, have recorded, and early on a
-// keeper, a witness with a disk. So when a holder dies, Evidence bounds what it can
+// spends only what half of its witnesses, other nodes, have recorded, and early on half
+// of its keepers, witnesses with a disk. So when a holder dies, Evidence bounds what it can
 // have spent: the witnesses' records, else the keepers' and the time for which it can
 // have lived without an answer. It is billed that, and the rest of its allowance
 // returns to the customer.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -48,7 +48,7 @@
 	// mark is what the ledger confirmed, or less where a lower one was stated.
 	mark Tokens
 	// start is the part of mark that may be spent at once, raised what witnesses
-	// have recorded since the latest answer, kept what a keeper has.
+	// have recorded since the latest answer, kept what keepers have.
 	start    Tokens
 	raised   Tokens
 	kept     Tokens
@@ -125,7 +125,7 @@
 	return h.opts.Opening(now.Sub(h.answeredAt)).limit(p.start, p.mark, p.granted)
 }
 
-// unkept is what a purse may spend without a keeper.
+// unkept is what a purse may spend without keepers.
 func (h *Holder) unkept(now time.Time, p *purse) Tokens {
 	if len(h.panel.keepers)+len(h.asked.keepers) == 0 {
 		return h.bound(now, p)
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -9,8 +9,8 @@
 	// the grant opens too, evenly over GrantOpens, for customers whose demand grows.
 	// All holders and the control group must use the same values.
 	OpenAfter, CutOff, GrantOpens time.Duration
-	// KeeperLead is how much earlier all this opens to a holder whose raises a
-	// keeper has recorded: they are known when all processes end at once.
+	// KeeperLead is how much earlier all this opens to a holder whose raises
+	// keepers have recorded: they are known when all processes end at once.
 	KeeperLead time.Duration
 	// Start is the demand that a holder can spend ahead at once, Ahead what it can
 	// spend by CutOff: what is burned when many nodes die at once against what
--- a/core/quota/panel.go
+++ b/core/quota/panel.go
@@ -6,11 +6,11 @@
 	"dotterelgap/core/fleet"
 )
 
-// panel is the witnesses that a statement names.
+// panel is the witnesses that a statement names. Half of each list must record a raise.
 type panel struct {
-	// witnesses live in memory; half of them must record a raise.
+	// witnesses live in memory.
 	witnesses []fleet.NodeID
-	// keepers have a disk; one of them must record what is spent early.
+	// keepers have a disk; they must record what is spent early.
 	keepers []fleet.NodeID
 }
 
@@ -19,18 +19,18 @@
 }
 
 // recorded tells whether enough of the witnesses have recorded a raise.
-func (p panel) recorded(acked map[fleet.NodeID]bool) bool {
+func (p panel) recorded(acked map[fleet.NodeID]bool) bool { return enough(p.witnesses, acked) }
+
+// kept tells whether enough of the keepers have recorded a raise. Where there are none,
+// the ledger does not expect it.
+func (p panel) kept(acked map[fleet.NodeID]bool) bool { return enough(p.keepers, acked) }
+
+func enough(ids []fleet.NodeID, acked map[fleet.NodeID]bool) bool {
 	n := 0
-	for _, id := range p.witnesses {
+	for _, id := range ids {
 		if acked[id] {
 			n++
 		}
 	}
-	return n >= toRaise(len(p.witnesses))
-}
-
-// kept tells whether a keeper has recorded a raise. Where there are none, the
-// ledger does not expect it.
-func (p panel) kept(acked map[fleet.NodeID]bool) bool {
-	return len(p.keepers) == 0 || slices.ContainsFunc(p.keepers, func(id fleet.NodeID) bool { return acked[id] })
+	return n >= ToRaise(len(ids))
 }
--- a/core/quota/raise.go
+++ b/core/quota/raise.go
@@ -57,7 +57,7 @@
 }
 
 // Recorded says which witnesses have recorded a raise so far, and tells what of it
-// is in force: recorded where enough witnesses have it, kept where a keeper has.
+// is in force: recorded where enough witnesses have it, kept where enough keepers have.
 func (h *Holder) Recorded(r Raise, acked map[fleet.NodeID]bool) (recorded, kept bool) {
 	if r.Holder != h.id || r.Heard != h.heard {
 		return false, false
--- a/core/quota/raise_test.go
+++ b/core/quota/raise_test.go
@@ -225,3 +225,43 @@
 	recorded, _ := h.Recorded(r, acked)
 	return recorded
 }
+
+// A disk that is lost together with all processes does not make the others' words
+// worthless: of three keepers two must record a raise, and the words of two are enough.
+func TestKeptWithALostDisk(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000_000)
+	ids := []fleetID{"keeper-1", "keeper-2", "keeper-3"}
+	p.holder.SetWitnesses([]fleetID{"entry-2"}, ids)
+	p.demand(is)
+	_ = p.holder.Reserve(p.now, "r1", "acme", 900)
+	p.now = p.now.Add(quota.DefaultOptions().CutOff)
+	r, _, _, wanted := p.holder.Raise(p.now)
+	is.True(wanted)
+	_, kept := p.holder.Recorded(r, map[fleetID]bool{"entry-2": true, "keeper-2": true})
+	is.True(!kept)
+	_, kept = p.holder.Recorded(r, map[fleetID]bool{"entry-2": true, "keeper-2": true, "keeper-3": true})
+	is.True(kept)
+
+	var words []quota.Testimony
+	for i, id := range ids {
+		w := quota.NewWitness(id)
+		if i > 0 {
+			r.Witness = id
+			is.True(w.Raise(r))
+		}
+		words = append(words, w.Peek(id, "entry-1"))
+	}
+	life := *p.ledger.Holders["entry-1"]
+	for lost := range ids {
+		some := append([]quota.Testimony(nil), words...)
+		some[lost] = quota.Testimony{}
+		marks, verdict := life.JudgeKept(some)
+		is.Equal(verdict, quota.Settled)
+		is.Equal(marks, r.Marks) // whichever disk is lost, one that has it is left
+	}
+	_, verdict := life.JudgeKept(words[:1])
+	is.Equal(verdict, quota.Open)
+	_, verdict = life.JudgeKept([]quota.Testimony{words[0], {}, {}})
+	is.Equal(verdict, quota.Unproven)
+}
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -31,7 +31,7 @@
 	// Witnesses are the nodes of which half must have recorded what the holder
 	// spends beyond its starts. Without any it needs nobody's word.
 	Witnesses []fleet.NodeID `cbor:"9,keyasint,omitempty"`
-	// Keepers are the witnesses with a disk, one of which may record it too.
+	// Keepers are the witnesses with a disk, half of which may record it too.
 	Keepers []fleet.NodeID `cbor:"12,keyasint,omitempty"`
 }
 
--- a/core/quota/witness.go
+++ b/core/quota/witness.go
@@ -126,17 +126,28 @@
 	Unproven
 )
 
-// toRaise is the number of witnesses, of n, that must have recorded a raise before
-// it is used: half of them, so that one that is slow or dead does not prevent it.
-func toRaise(n int) int { return (n + 1) / 2 }
+// ToRaise is the number of witnesses, of n, that must have recorded a raise before it is
+// used: half of them, so that one that is slow or dead does not prevent it.
+func ToRaise(n int) int { return (n + 1) / 2 }
 
 // toSettle is the number of witnesses whose words are enough: any so many have one
 // among them that recorded each raise that was used.
-func toSettle(n int) int { return n - toRaise(n) + 1 }
+func toSettle(n int) int { return n - ToRaise(n) + 1 }
 
 // Judge weighs the words of a holder's witnesses. raised holds the highest marks
 // that the holder may have used since its latest statement.
 func (h Life) Judge(words []Testimony) (raised map[string]Tokens, v Verdict) {
+	return judge(words, h.Heard, len(h.Witnesses))
+}
+
+// JudgeKept weighs the words of a holder's keepers in the same way: some of their disks
+// may be lost.
+func (h Life) JudgeKept(words []Testimony) (kept map[string]Tokens, v Verdict) {
+	return judge(words, h.Heard, len(h.Keepers))
+}
+
+// judge weighs the words of n witnesses on raises since the statement heard.
+func judge(words []Testimony, heard uint64, n int) (raised map[string]Tokens, v Verdict) {
 	raised = map[string]Tokens{}
 	valid, lost := 0, 0
 	for _, t := range words {
@@ -145,11 +156,10 @@
 			continue
 		}
 		valid++
-		if t.Heard >= h.Heard {
+		if t.Heard >= heard {
 			mergeMarks(raised, t.Marks)
 		}
 	}
-	n := len(h.Witnesses)
 	switch {
 	case n > 0 && valid >= toSettle(n):
 		return raised, Settled
@@ -159,29 +169,6 @@
 	return nil, Open
 }
 
-// JudgeKept weighs the words of a holder's keepers, any one of which may have
-// recorded a raise: all must be there.
-func (h Life) JudgeKept(words []Testimony) (kept map[string]Tokens, v Verdict) {
-	kept = map[string]Tokens{}
-	valid := 0
-	for _, t := range words {
-		if !t.Valid {
-			return nil, Unproven
-		}
-		valid++
-		if t.Heard >= h.Heard {
-			mergeMarks(kept, t.Marks)
-		}
-	}
-	switch {
-	case len(h.Keepers) == 0:
-		return nil, Unproven
-	case valid < len(h.Keepers):
-		return nil, Open
-	}
-	return kept, Settled
-}
-
 // Evidence bounds what an ended holder can have spent. Without any it is billed
 // all that it was granted.
 type Evidence struct {
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"dotterelgap/core/fleet"
@@ -66,11 +67,17 @@
 	return out
 }
 
+// keeperPrefix begins the ids of keepers.
+const keeperPrefix = "keeper-"
+
 // KeeperID names the witness on a control host's disk.
 func KeeperID(m raft.MemberID) fleet.NodeID {
-	return fleet.NodeID(fmt.Sprintf("keeper-%016x", uint64(m)))
+	return fleet.NodeID(fmt.Sprintf("%s%016x", keeperPrefix, uint64(m)))
 }
 
+// IsKeeper tells whether an id is that of a keeper.
+func IsKeeper(id fleet.NodeID) bool { return strings.HasPrefix(string(id), keeperPrefix) }
+
 // keepersOf finds the addresses of a holder's keepers; that of one which is no
 // member any more is not valid. Loop only.
 func (h *Host) keepersOf(life quota.Life) map[fleet.NodeID]netip.AddrPort {
--- a/io/node/keeper_test.go
+++ b/io/node/keeper_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"sync"
 	"testing"
 
@@ -8,6 +9,7 @@
 	"dotterelgap/core/quota"
 	"dotterelgap/io/ctrl"
 	"dotterelgap/io/disk"
+	"dotterelgap/io/wire"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -89,3 +91,33 @@
 	is.True(recorded <= 2*keeperQueue)
 	k.close()
 }
+
+// A keeper that is not open yet has lost nothing: only another folder's says that the
+// records are gone.
+func TestKeeperThatIsNotOpenYet(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	s := &Service{n: &Node{deps: Deps{DataDir: dir}, budgets: &budgets{witness: quota.NewWitness("entry-1")}}}
+	ask := func(id fleet.NodeID) (quota.Testimony, error) {
+		var words quota.Testimony
+		err := s.Fence(&wire.FenceArgs{Witness: id, Holder: "entry-9", Peek: true}, &words)
+		return words, err
+	}
+	_, err := ask(ctrl.KeeperID(7))
+	var closed *KeeperClosedError
+	is.True(errors.As(err, &closed))
+	words, err := ask("entry-1") // the node's memory is there
+	is.NoErr(err)
+	is.True(words.Valid)
+
+	k, err := openKeeper(zap.NewNop(), disk.OS(), dir, 7, never)
+	is.NoErr(err)
+	defer k.close()
+	s.n.budgets.keeper.Store(k)
+	words, err = ask(ctrl.KeeperID(7))
+	is.NoErr(err)
+	is.True(words.Valid)
+	words, err = ask(ctrl.KeeperID(8)) // this folder took its place
+	is.NoErr(err)
+	is.True(!words.Valid)
+}
--- a/io/node/raise.go
+++ b/io/node/raise.go
@@ -7,8 +7,10 @@
 
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/quota"
+	"dotterelgap/io/ctrl"
 	"dotterelgap/io/wire"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 )
 
@@ -20,9 +22,9 @@
 	raisePause = 50 * time.Millisecond
 	// keeperWait is how long a keeper is waited for once the witnesses have answered.
 	keeperWait = 20 * time.Millisecond
-	// askedKeepers is how many keepers are asked of those that have recorded
-	// something within nearFor.
-	askedKeepers = 2
+	// Keepers that have recorded something within nearFor are asked, spareKeepers more
+	// than are needed.
+	spareKeepers = 1
 	nearFor      = time.Second
 )
 
@@ -88,19 +90,20 @@
 	}
 }
 
-// near returns the keepers that have recorded something lately, if there are some;
-// else all, since any may be out of reach.
+// near returns keepers that have recorded something lately, if there are enough; else
+// all, since any may be out of reach.
 func (b *budgets) near(keepers []fleet.NodeID) []fleet.NodeID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	needed := quota.ToRaise(len(keepers))
 	var out []fleet.NodeID
 	for _, id := range keepers {
-		if len(out) < askedKeepers && now.Sub(b.keptAt[id]) < nearFor {
+		if len(out) < needed+spareKeepers && now.Sub(b.keptAt[id]) < nearFor {
 			out = append(out, id)
 		}
 	}
-	if len(out) == 0 {
+	if len(out) < needed {
 		return keepers
 	}
 	return out
@@ -162,10 +165,23 @@
 	return nil
 }
 
+// KeeperClosedError says that a node's keeper is not open, as early after a start: what
+// it has recorded is not lost.
+type KeeperClosedError struct {
+	Keeper fleet.NodeID
+}
+
+// Error implements error.
+func (e *KeeperClosedError) Error() string { return string(e.Keeper) + " is not open" }
+
 // Fence tells about the raises of a holder, and may refuse further ones.
 func (s *Service) Fence(args *wire.FenceArgs, reply *quota.Testimony) error {
 	b := s.n.budgets
-	if k := b.keeper.Load(); k != nil && args.Witness == k.id {
+	k := b.keeper.Load()
+	if k == nil && s.n.deps.DataDir != "" && ctrl.IsKeeper(args.Witness) {
+		return trace.Wrap(&KeeperClosedError{Keeper: args.Witness})
+	}
+	if k != nil && args.Witness == k.id {
 		*reply = k.peek(args.Witness, args.Holder)
 		return nil
 	}
