Log the prompt parts of requests that were not served

Change: a request that was not served is logged with the ids of its first eight parts, 32 bytes each at most. No logic is changed.

--- a/io/front/trail.go
+++ b/io/front/trail.go
@@ -77,6 +77,9 @@
 	if len(c.attempts) > 0 {
 		fields = append(fields, zap.Array("attempts", c.attempts))
 	}
+	if failure != nil && len(c.info.Parts) > 0 {
+		fields = append(fields, zap.Strings("parts", partIDs(c.info.Parts)))
+	}
 	if c.lastErr != nil {
 		fields = append(fields, zap.NamedError("cause", c.lastErr))
 	}
@@ -90,3 +93,19 @@
 	}
 	c.f.log.Warn("front: not served", fields...)
 }
+
+// Limits of the parts of a prompt in a log line.
+const (
+	maxLoggedParts  = 8
+	maxLoggedPartID = 32 // bytes
+)
+
+// partIDs returns the ids of a prompt's first parts for a log line, shortened if they are
+// long.
+func partIDs(parts []sched.Part) []string {
+	ids := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, p := range parts[:cap(ids)] {
+		ids = append(ids, p.ID[:min(len(p.ID), maxLoggedPartID)])
+	}
+	return ids
+}
