Reproduce engines that crash one after another on one prompt part

Cause: a request whose prompt has a certain part crashes the engine that begins to respond to it; nodes send the next one to the next engine.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -50,6 +50,12 @@
 		RequestID: "Id", EventID: "After",
 		Parse: func(h http.Header) front.RequestInfo {
 			t := front.RequestInfo{Key: h.Get("Key"), Input: 900, Output: 90, Parts: []sched.Part{{ID: "a", Tokens: 500}, {ID: h.Get("Id"), Tokens: 400}}}
+			if list := h.Get("Parts"); list != "" {
+				t.Parts = nil
+				for id := range strings.SplitSeq(list, ",") {
+					t.Parts = append(t.Parts, sched.Part{ID: id, Tokens: 300})
+				}
+			}
 			t.Deadline, _ = time.ParseDuration(h.Get("Wait"))
 			return t
 		},
@@ -229,7 +235,7 @@
 	return url
 }
 
-func startFront(t *testing.T, p *fakeBudgets, upstream http.HandlerFunc) (*front.Front, string) {
+func startFront(t *testing.T, p front.Budgets, upstream http.HandlerFunc) (*front.Front, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
