Move the reader of datagrams from core/sched to core/codec

Cause: a second kind of datagram between nodes is coming, and its decoder would repeat the reader. Change: codec.Reader, with the same limits. The encoding of updates is the same. Conclusion: no change of behavior.

--- a/core/codec/codec.go
+++ b/core/codec/codec.go
@@ -1,5 +1,6 @@
 // Package codec encodes the data of the replicated log and of files on disk as CBOR. Times
-// keep their nanoseconds; the default of the CBOR library truncates them to seconds.
+// keep their nanoseconds; the default of the CBOR library truncates them to seconds. Reader
+// decodes the compact datagrams that nodes send each other.
 //
 // # Usage
 //
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"time"
+
+	"dotterelgap/core/codec"
 )
 
 // Update tells other nodes that a prompt was placed on an upstream, or that an upstream
@@ -52,50 +54,21 @@
 	if len(b) == 0 || b[0] != kindPlacement && b[0] != kindFailure {
 		return Update{}, false
 	}
-	r := reader{b: b[1:]}
-	u.Upstream = r.fixed()
+	r := codec.NewReader(b[1:])
+	u.Upstream = r.Fixed()
 	if b[0] == kindFailure {
 		u.Failed = true
-		return u, !r.bad
+		return u, r.OK()
 	}
-	u.Uncached = r.count()
-	parts := r.count()
-	if r.bad || parts > maxUpdateParts {
+	u.Uncached = r.Count()
+	parts := r.Count()
+	if !r.OK() || parts > maxUpdateParts {
 		return Update{}, false
 	}
 	for range parts {
-		u.Parts = append(u.Parts, PartKey{Key: r.fixed(), Tokens: r.count()})
-	}
-	return u, !r.bad
-}
-
-// reader decodes numbers from the front of a message.
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (r *reader) fixed() uint64 {
-	if len(r.b) < 8 {
-		r.bad = true
-		return 0
-	}
-	v := binary.LittleEndian.Uint64(r.b)
-	r.b = r.b[8:]
-	return v
-}
-
-// maxCount is the largest number of tokens that an update may contain.
-const maxCount = 1 << 30
-
-func (r *reader) count() int {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 || v > maxCount {
-		r.bad = true
-		return 0
+		u.Parts = append(u.Parts, PartKey{Key: r.Fixed(), Tokens: r.Count()})
 	}
-	r.b = r.b[n:]
-	return int(v)
+	return u, r.OK()
 }
 
 // OnUpdate applies an update from another node.
