Quarantine prompt parts that crash one engine after another

Cause: a request with a certain prompt part crashes the engine that begins to respond to it. Nodes ejected the engine and sent the next such request to the next engine; nothing remembered what the requests had in common. Change: core/poison counts, for each prompt part but the last, the incarnations of upstreams that closed the connection before the first event was complete. An answer takes counts back. At three crashes, the part and those others that were in all of its crashes and are not answered are quarantined for 10 minutes: prompts with all of them get 503 with the time that is left. Nodes send each other reports as datagrams; quarantines are replicated by gossip, so they also reach nodes that join late, restart or were partitioned.

--- a/core/gossip/doc.go
+++ b/core/gossip/doc.go
@@ -1,6 +1,6 @@
 // Package gossip replicates soft state between nodes that initially know only a few seed
-// addresses: which other nodes there are, which upstreams send heartbeats, and which
-// routing policy is in force. The state is eventually consistent, so no safety property
+// addresses: which other nodes there are, which upstreams send heartbeats, which routing
+// policy is in force, and which prompt parts are quarantined. The state is eventually consistent, so no safety property
 // may depend on it.
 //
 // Machine does no I/O. Its driver calls Partners at an interval, exchanges deltas with the
@@ -12,7 +12,7 @@
 //
 //	m := gossip.New(gossip.Params{Self: peer, Seeds: seeds, Rand: rnd, Now: now})
 //	for _, addr := range m.Partners(now) {
-//		req := m.Request(addr)
+//		req := m.Request(now, addr)
 //		reply := call(addr, req)
 //		m.OnReply(now, reply)
 //	}
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -80,7 +80,7 @@
 	h.machine.Tick(s.now)
 	for _, addr := range h.machine.Partners(s.now) {
 		to := s.hostAt(addr)
-		req := h.machine.Request(addr)
+		req := h.machine.Request(s.now, addr)
 		if to == nil || to == h || s.partition[to] != s.partition[h] || lost() {
 			continue
 		}
@@ -137,6 +137,11 @@
 			"beat":    s.heartbeat,
 			"cut":     func(t *rapid.T) { s.partition[pick("host")] = rapid.IntRange(0, 1).Draw(t, "side") },
 			"restart": func(*rapid.T) { s.start(pick("host")) },
+			"quarantine": func(t *rapid.T) {
+				q := fleet.Quarantine{Parts: []uint64{rapid.Uint64Range(1, 3).Draw(t, "part")}, Left: 10 * time.Minute}
+				q.Round, q.Lifted = rapid.Uint64Range(1, 4).Draw(t, "number"), rapid.Bool().Draw(t, "lifted")
+				pick("host").machine.Quarantine(s.now, q)
+			},
 			"late": func(t *rapid.T) {
 				if len(s.delayed) > 0 {
 					pick("host").machine.RecordHeartbeat(s.now, rapid.SampledFrom(s.delayed).Draw(t, "word"))
@@ -165,6 +170,9 @@
 
 func (s *sim) checkConverged(t *rapid.T) {
 	for i, h := range s.hosts {
+		if got, want := h.quarantines(s.now), s.hosts[0].quarantines(s.now); got != want {
+			t.Fatalf("host %d has the quarantines %s, host 0 %s", i, got, want)
+		}
 		if alive := len(h.machine.Alive(s.now)); alive != len(s.hosts) {
 			t.Fatalf("host %d lists %d live nodes, want %d", i, alive, len(s.hosts))
 		}
@@ -183,6 +191,42 @@
 	}
 }
 
+// quarantines formats the quarantines that a host knows, without the time that is left.
+func (h *host) quarantines(now time.Time) string {
+	list := h.machine.Quarantines(now)
+	for i := range list {
+		list[i].Left = 0
+	}
+	return fmt.Sprint(list)
+}
+
+// TestQuarantineEnds checks that a quarantine reaches a node that joins late with the time
+// that is left, and that it ends on all nodes.
+func TestQuarantineEnds(t *testing.T) {
+	is := is.New(t)
+	s := newSim(2)
+	s.hosts[0].machine.Quarantine(s.now, fleet.Quarantine{Parts: []uint64{7}, Round: 1, Left: time.Minute})
+	rounds := func() {
+		for range 20 {
+			s.now = s.now.Add(2 * time.Second)
+			for _, h := range s.hosts {
+				s.round(h, noLoss)
+			}
+		}
+	}
+	rounds()
+	s.hosts = append(s.hosts, &host{addr: addrOf(2)})
+	s.start(s.hosts[2])
+	s.round(s.hosts[2], noLoss)
+	late := s.hosts[2].machine.Quarantines(s.now)
+	is.Equal(len(late), 1)
+	is.Equal(late[0].Left, 20*time.Second)
+	rounds()
+	for _, h := range s.hosts {
+		is.Equal(len(h.machine.Quarantines(s.now)), 0)
+	}
+}
+
 // TestDrainIsUrgent checks that a draining upstream is sent to all peers in the next
 // exchange, and that a delayed heartbeat does not make it ready again.
 func TestDrainIsUrgent(t *testing.T) {
@@ -235,7 +279,7 @@
 			s.round(h, noLoss)
 		}
 	}
-	req := s.hosts[1].machine.Request(s.hosts[2].addr)
+	req := s.hosts[1].machine.Request(s.now, s.hosts[2].addr)
 	is.Equal(len(req.Delta.Upstreams), 0)
 	is.True(len(req.Delta.Peers) <= 3)
 }
--- a/core/gossip/machine.go
+++ b/core/gossip/machine.go
@@ -49,12 +49,13 @@
 	clock               uint64
 	peers               *Store[fleet.NodeID, fleet.Peer]
 	upstreams           *Store[string, fleet.Upstream]
+	quarantines         quarantines
 	partners            map[fleet.NodeID]*partner
 	peerHeartbeatAt     map[fleet.NodeID]time.Time
 	upstreamHeartbeatAt map[string]time.Time
 	heartbeatAt         time.Time
 	seedAt              time.Time
-	// version increases with each change of the upstreams or peers.
+	// version increases with each change of the upstreams, peers or quarantines.
 	version uint64
 	// reportedVersion is the version that the driver last read.
 	reportedVersion uint64
@@ -69,6 +70,7 @@
 	}
 	m.peers = newStore[fleet.NodeID, fleet.Peer](&m.clock)
 	m.upstreams = newStore[string, fleet.Upstream](&m.clock)
+	m.quarantines = newQuarantines(&m.clock)
 	m.heartbeat(p.Now)
 	return m
 }
@@ -99,8 +101,8 @@
 	m.peers.Put(m.self.ID, m.self, m.self.ID)
 }
 
-// Version returns a number that increases whenever peers or upstreams change in more than
-// their heartbeat counters.
+// Version returns a number that increases whenever quarantines change, or peers or
+// upstreams in more than their heartbeat counters.
 func (m *Machine) Version() uint64 {
 	m.reportedVersion = m.version
 	return m.version
@@ -200,6 +202,7 @@
 			m.version++
 		}
 	}
+	m.quarantines.expire(now)
 }
 
 func (m *Machine) forgetPeer(id fleet.NodeID) {
@@ -251,10 +254,10 @@
 }
 
 // Request returns the request that starts an exchange with the node at an address.
-func (m *Machine) Request(addr netip.AddrPort) Request {
+func (m *Machine) Request(now time.Time, addr netip.AddrPort) Request {
 	id := m.incarnationAt(addr)
 	p := m.partner(id)
-	return Request{From: m.self, Life: id, Have: p.merged, Delta: m.delta(p.acked, id)}
+	return Request{From: m.self, Life: id, Have: p.merged, Delta: m.delta(now, p.acked, id)}
 }
 
 func (m *Machine) partner(id fleet.NodeID) *partner {
@@ -268,8 +271,11 @@
 	return p
 }
 
-func (m *Machine) delta(since uint64, to fleet.NodeID) Delta {
-	return Delta{Upto: m.clock, Peers: m.peers.Since(since, to), Upstreams: m.upstreams.Since(since, to)}
+func (m *Machine) delta(now time.Time, since uint64, to fleet.NodeID) Delta {
+	return Delta{
+		Upto: m.clock, Peers: m.peers.Since(since, to), Upstreams: m.upstreams.Since(since, to),
+		Quarantines: m.quarantines.since(now, since, to),
+	}
 }
 
 // OnRequest merges a request and returns the reply.
@@ -279,7 +285,7 @@
 	if r.Life != m.self.ID {
 		have = 0
 	}
-	return Reply{From: m.self, Have: r.Delta.Upto, Delta: m.delta(have, r.From.ID)}
+	return Reply{From: m.self, Have: r.Delta.Upto, Delta: m.delta(now, have, r.From.ID)}
 }
 
 // OnReply merges a reply.
@@ -299,6 +305,11 @@
 	for _, u := range d.Upstreams {
 		m.putUpstream(now, u, from.ID)
 	}
+	for _, q := range d.Quarantines {
+		if m.quarantines.put(now, q, from.ID) {
+			m.version++
+		}
+	}
 }
 
 func (m *Machine) putPeer(now time.Time, p fleet.Peer, source fleet.NodeID) {
--- a/core/gossip/message.go
+++ b/core/gossip/message.go
@@ -23,7 +23,8 @@
 
 // Delta contains changed records of the sender, up to its stamp Upto.
 type Delta struct {
-	Upto      uint64
-	Peers     []fleet.Peer
-	Upstreams []fleet.Upstream
+	Upto        uint64
+	Peers       []fleet.Peer
+	Upstreams   []fleet.Upstream
+	Quarantines []fleet.Quarantine
 }
--- a/io/conns/errors.go
+++ b/io/conns/errors.go
@@ -1,6 +1,22 @@
 package conns
 
-import "net/netip"
+import (
+	"errors"
+	"io"
+	"net/netip"
+	"syscall"
+)
+
+// ClosedByPeer reports whether the upstream closed or reset the connection. Other errors,
+// such as timeouts, are more likely to be faults of the network.
+func ClosedByPeer(err error) bool {
+	for _, cause := range []error{errNoResponse, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
 
 // NotSentError reports that no byte of a request was sent.
 type NotSentError struct {
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -88,9 +88,20 @@
 	if ctx.Err() != nil {
 		return attemptResult{outcome: c.stopOutcome(), final: true, failure: errTimeout, mayHaveRun: true}
 	}
+	if conns.ClosedByPeer(err) {
+		c.recordCrash(false)
+	}
 	return attemptResult{outcome: sched.Failed, failure: errInDoubt, mayHaveRun: true}
 }
 
+// recordCrash records that the upstream closed the connection before it sent anything
+// that can be passed on; begun is set if its response had begun.
+func (c *call) recordCrash(begun bool) {
+	if c.service.Engine != nil {
+		c.f.guard.crashed(c.choice.Upstream, c.shared, begun)
+	}
+}
+
 // stopOutcome returns the outcome of an attempt whose context ended: the caller
 // disconnected, or the deadline passed.
 func (c *call) stopOutcome() sched.Outcome {
@@ -113,6 +124,9 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(buf.Len()))
 		c.writeHead(a.Status)
 		_, _ = c.w.Write(buf.Bytes())
+		if a.Status < http.StatusBadRequest {
+			c.f.guard.answered(c.shared)
+		}
 		return finalResult(outcomeOfStatus(a.Status))
 	}
 	if err == nil {
@@ -122,6 +136,9 @@
 	if ctx.Err() != nil {
 		return attemptResult{outcome: c.stopOutcome(), final: true, failure: errTimeout, mayHaveRun: true}
 	}
+	if conns.ClosedByPeer(err) {
+		c.recordCrash(true)
+	}
 	return attemptResult{outcome: sched.Failed, failure: errInDoubt, mayHaveRun: true}
 }
 
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -44,6 +44,8 @@
 	reserveTook time.Duration
 	attempts    attemptLog
 	parts       []sched.PartKey
+	// shared are the keys of the prompt's parts without the request's own part.
+	shared []uint64
 	// choice and sentAt belong to the attempt in progress.
 	choice sched.Choice
 	sentAt time.Time
@@ -76,6 +78,9 @@
 	if failure := c.readBody(); failure != nil {
 		return failure
 	}
+	if failure := c.checkQuarantine(); failure != nil {
+		return failure
+	}
 	c.f.countRequest(c.service.Name)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
@@ -108,6 +113,7 @@
 		return errNoRoute
 	}
 	c.parts = sched.Keys(c.info.Parts)
+	c.shared = sharedKeys(c.parts)
 	limit := c.route.Timeout
 	if c.info.Deadline > 0 {
 		limit = min(limit, c.info.Deadline)
@@ -145,6 +151,17 @@
 	return nil
 }
 
+// checkQuarantine rejects a prompt that would crash the engine it is sent to.
+func (c *call) checkQuarantine() *responseError {
+	left, ok := c.f.guard.quarantined(c.shared)
+	if !ok {
+		return nil
+	}
+	failure := *errQuarantined
+	failure.retryAfter = left
+	return &failure
+}
+
 // maxTokens returns the most tokens that the request may be billed.
 func (c *call) maxTokens() quota.Tokens {
 	return quota.Tokens(c.info.Input + c.info.Output)
@@ -192,6 +209,12 @@
 		if ctx.Err() != nil {
 			return c.expiredError()
 		}
+		if failure := c.checkQuarantine(); failure != nil {
+			if c.mayHaveRun {
+				return last
+			}
+			return failure
+		}
 		if len(c.tried) > 0 && last != errNoUpstream && !c.f.takeRetry(c.service.Name) {
 			return last
 		}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dotterelgap/core/fleet"
+	"dotterelgap/core/poison"
 	"dotterelgap/core/policy"
 	"dotterelgap/core/quota"
 	"dotterelgap/core/sched"
@@ -47,8 +48,12 @@
 	Conns    *conns.Pool
 	Sched    sched.Options
 	Retry    RetryOptions
-	// Broadcast sends an update to the other nodes. It must not block.
+	// Broadcast sends an update to the other nodes, and Report a report. They must not
+	// block.
 	Broadcast func(sched.Update)
+	Report    func(poison.Report)
+	// Quarantine replicates a quarantine to the other nodes.
+	Quarantine func(fleet.Quarantine)
 	// LeaveNotice is how long a front that shuts down keeps serving, so that the load
 	// balancer detects that it is not ready.
 	LeaveNotice time.Duration
@@ -65,6 +70,7 @@
 	// calls are the requests in progress.
 	calls   sync.WaitGroup
 	metrics *metrics
+	guard   *guard
 
 	mu       sync.Mutex
 	balancer *sched.Balancer
@@ -78,6 +84,7 @@
 		deps: deps, log: deps.Log, balancer: sched.New(deps.Sched, deps.Place),
 		retries: map[string]*sched.RetryBudget{}, entries: 1, metrics: newMetrics(),
 	}
+	f.guard = newGuard(f)
 	f.http = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headerTimeout,
@@ -206,6 +213,12 @@
 	f.balancer.OnUpdate(time.Now(), n)
 }
 
+// ApplyReport applies another node's report.
+func (f *Front) ApplyReport(r poison.Report) { f.guard.apply(r) }
+
+// ApplyQuarantines applies the quarantines that other nodes began or lifted.
+func (f *Front) ApplyQuarantines(q []fleet.Quarantine) { f.guard.merge(q) }
+
 // recordFirstToken passes the time to the first token of an attempt to the balancer.
 func (f *Front) recordFirstToken(c sched.Choice, took time.Duration) {
 	f.mu.Lock()
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dotterelgap/core/fleet"
+	"dotterelgap/core/poison"
 	"dotterelgap/core/policy"
 	"dotterelgap/core/quota"
 	"dotterelgap/core/sched"
@@ -244,7 +245,7 @@
 	pool := conns.NewPool(conns.DefaultOptions())
 	f := front.Start(front.Deps{
 		Log: zap.NewNop(), Listener: ln, Dialect: dialect(), Budgets: p, Conns: pool, Sched: sched.DefaultOptions(),
-		Retry: front.RetryOptions{Ratio: 0.2, Burst: 10, Window: 10 * time.Second}, Broadcast: func(sched.Update) {},
+		Retry: front.RetryOptions{Ratio: 0.2, Burst: 10, Window: 10 * time.Second}, Broadcast: func(sched.Update) {}, Report: func(poison.Report) {}, Quarantine: func(fleet.Quarantine) {},
 	})
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dotterelgap/core/fleet"
 	"dotterelgap/core/sched"
 	"dotterelgap/io/telem"
 
@@ -15,17 +16,20 @@
 const codeServed = "served"
 
 type metrics struct {
-	requests  metric.Int64Counter
-	attempts  metric.Int64Counter
-	tokens    metric.Int64Counter
-	firstByte metric.Float64Histogram
-	duration  metric.Float64Histogram
+	requests    metric.Int64Counter
+	attempts    metric.Int64Counter
+	tokens      metric.Int64Counter
+	quarantines metric.Int64Counter
+	firstByte   metric.Float64Histogram
+	duration    metric.Float64Histogram
 }
 
 func newMetrics() *metrics {
 	return &metrics{
-		requests:  telem.Counter("front", "front_requests", "Callers' requests by kind of route and by how they ended."),
-		attempts:  telem.Counter("front", "front_attempts", "Attempts at upstreams by how they ended."),
+		requests: telem.Counter("front", "front_requests", "Callers' requests by kind of route and by how they ended."),
+		attempts: telem.Counter("front", "front_attempts", "Attempts at upstreams by how they ended."),
+		quarantines: telem.Counter("front", "front_quarantines",
+			"Quarantines of prompt parts that this node began or lifted."),
 		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed."),
 		firstByte: telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
 		duration:  telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
@@ -55,3 +59,12 @@
 func (m *metrics) countAttempt(o sched.Outcome) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", o.String())))
 }
+
+// countQuarantine records a quarantine that this node began or lifted.
+func (m *metrics) countQuarantine(q fleet.Quarantine) {
+	change := "began"
+	if q.Lifted {
+		change = "lifted"
+	}
+	m.quarantines.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
+}
--- a/io/front/poison_test.go
+++ b/io/front/poison_test.go
@@ -9,13 +9,13 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/quota"
-	"dotterelgap/io/front"
 
 	"github.com/matryer/is"
 )
@@ -26,35 +26,47 @@
 func (ampleBudgets) Reserve(context.Context, string, string, quota.Tokens) error { return nil }
 func (ampleBudgets) Settle(string, quota.Tokens)                                 {}
 
-// startEngine starts an engine that crashes when it begins to respond to a prompt with the
-// part "deadly": all its connections break. hits counts those prompts.
-func startEngine(t *testing.T, hits *atomic.Int64) netip.AddrPort {
-	t.Helper()
-	var s *httptest.Server
-	s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Id", r.Header.Get("Id"))
-		if !slices.Contains(strings.Split(r.Header.Get("Parts"), ","), "deadly") {
-			_, _ = io.WriteString(w, event(0))
-			return
-		}
-		hits.Add(1)
-		_ = http.NewResponseController(w).Flush()
-		s.CloseClientConnections()
-	}))
-	t.Cleanup(s.Close)
-	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+// engines are upstreams that crash when they begin to respond to a prompt with the part
+// "deadly": all their connections break, and a new incarnation takes over.
+type engines struct {
+	mu  sync.Mutex
+	ups []fleet.Upstream
+	// hits counts the prompts with the part "deadly".
+	hits atomic.Int64
 }
 
-// startFrontWithEngines starts a front with n engines and returns it with its URL.
-func startFrontWithEngines(t *testing.T, n int, hits *atomic.Int64) (*front.Front, string) {
+func startEngines(t *testing.T, n int) *engines {
 	t.Helper()
-	f, url := startFront(t, ampleBudgets{}, nil)
-	var ups []fleet.Upstream
+	e := &engines{ups: make([]fleet.Upstream, n)}
 	for i := range n {
-		ups = append(ups, fleet.Upstream{ID: fmt.Sprint("i-", i), Service: "model", Addr: startEngine(t, hits)})
+		s := httptest.NewServer(nil)
+		t.Cleanup(s.Close)
+		s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, i, s) })
+		addr := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+		e.ups[i] = fleet.Upstream{ID: fmt.Sprint("i-", i), Service: "model", Addr: addr, Born: time.Unix(1, 0)}
 	}
-	f.SetUpstreams(ups)
-	return f, url
+	return e
+}
+
+func (e *engines) serve(w http.ResponseWriter, r *http.Request, i int, s *httptest.Server) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	if !slices.Contains(strings.Split(r.Header.Get("Parts"), ","), "deadly") {
+		_, _ = io.WriteString(w, event(0))
+		return
+	}
+	e.hits.Add(1)
+	e.mu.Lock()
+	e.ups[i].Born = e.ups[i].Born.Add(time.Second)
+	e.mu.Unlock()
+	_ = http.NewResponseController(w).Flush()
+	s.CloseClientConnections()
+}
+
+// list returns the current incarnations.
+func (e *engines) list() []fleet.Upstream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.ups)
 }
 
 // sendPrompt sends a request with these prompt parts and returns the response, with its
@@ -82,10 +94,11 @@
 // other, and against rejecting sound requests that share their other parts.
 func TestPoisonousPartCrashesEngineAfterEngine(t *testing.T) {
 	is := is.New(t)
-	var hits atomic.Int64
-	_, url := startFrontWithEngines(t, 16, &hits)
+	e := startEngines(t, 16)
+	f, url := startFront(t, ampleBudgets{}, nil)
 	served := 0
 	for i := range 16 {
+		f.SetUpstreams(e.list())
 		id := fmt.Sprint("r-", i)
 		sendPrompt(t, url, id+"-d", "a", "session", "deadly", id)
 		time.Sleep(150 * time.Millisecond)
@@ -93,8 +106,8 @@
 			served++
 		}
 	}
-	is.True(hits.Load() <= 8) // five crashes and three more requests
-	is.Equal(served, 16)      // sound requests are not affected
+	is.True(e.hits.Load() <= 8) // five crashes and three more requests
+	is.Equal(served, 16)        // sound requests are not affected
 	resp := sendPrompt(t, url, "last", "a", "session", "deadly", "last")
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.True(resp.Header.Get("Retry-After") != "")
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -56,6 +56,9 @@
 		return attemptResult{outcome: sched.Canceled, final: true, failure: errTimeout}
 	}
 	c.lastErr = err
+	if s.events == 0 && conns.ClosedByPeer(err) {
+		c.recordCrash(true)
+	}
 	return attemptResult{outcome: sched.Failed, failure: errInDoubt, mayHaveRun: true}
 }
 
@@ -103,6 +106,9 @@
 		return nil
 	}
 	end += 2
+	if s.events == 0 {
+		s.c.f.guard.answered(s.c.shared)
+	}
 	s.countEvents(s.pending[:end])
 	if err := s.write(a, s.pending[:end]); err != nil {
 		return err
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -124,7 +124,7 @@
 		return
 	}
 	m.inFlight[addr] = false
-	req := m.machine.Request(addr)
+	req := m.machine.Request(time.Now(), addr)
 	m.wg.Go(func() { m.call(ctx, addr, req) })
 }
 
@@ -183,6 +183,21 @@
 	return m.machine.Upstreams()
 }
 
+// Quarantine replicates a quarantine that this node began or lifted.
+func (m *Mesh) Quarantine(q fleet.Quarantine) {
+	m.mu.Lock()
+	m.machine.Quarantine(time.Now(), q)
+	m.mu.Unlock()
+	m.wake()
+}
+
+// Quarantines returns the known quarantines.
+func (m *Mesh) Quarantines() []fleet.Quarantine {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Quarantines(time.Now())
+}
+
 // Alive returns the live nodes, including this one.
 func (m *Mesh) Alive() []fleet.Peer {
 	m.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dotterelgap/core/fleet"
+	"dotterelgap/core/poison"
 	"dotterelgap/core/policy"
 	"dotterelgap/core/quota"
 	"dotterelgap/core/sched"
@@ -103,7 +104,10 @@
 	n.front = front.Start(front.Deps{
 		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
 		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
-		LeaveNotice: deps.LeaveNotice, Broadcast: n.updates.enqueue,
+		LeaveNotice: deps.LeaveNotice,
+		Broadcast:   func(u sched.Update) { n.updates.enqueue(u) },
+		Report:      func(r poison.Report) { n.updates.enqueue(r) },
+		Quarantine:  func(q fleet.Quarantine) { n.mesh.Quarantine(q) },
 	})
 	if err := n.startMesh(id); err != nil {
 		cancel()
@@ -174,6 +178,7 @@
 		ups = append(ups, u.Upstream)
 	}
 	n.front.SetUpstreams(ups)
+	n.front.ApplyQuarantines(n.mesh.Quarantines())
 	alive := n.mesh.Alive()
 	n.front.SetEntries(len(alive))
 	n.budgets.setWitnesses(alive)
--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"dotterelgap/core/fleet"
+	"dotterelgap/core/poison"
 	"dotterelgap/core/sched"
 
 	"github.com/gravitational/trace"
@@ -19,12 +20,17 @@
 // updateQueue bounds the updates that wait to be sent.
 const updateQueue = 256
 
-// updates sends the front's updates to the other nodes as datagrams. Updates are hints:
-// one that is lost, or dropped because the queue is full, costs accuracy only.
+// message is what nodes send each other as a datagram.
+type message interface {
+	Append(b []byte) []byte
+}
+
+// updates sends the front's updates and reports to the other nodes as datagrams. They are
+// hints: one that is lost, or dropped because the queue is full, costs accuracy only.
 type updates struct {
 	n     *Node
 	conn  *net.UDPConn
-	queue chan sched.Update
+	queue chan message
 	peers atomic.Pointer[[]netip.AddrPort]
 }
 
@@ -33,13 +39,13 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &updates{n: n, conn: conn, queue: make(chan sched.Update, updateQueue)}, nil
+	return &updates{n: n, conn: conn, queue: make(chan message, updateQueue)}, nil
 }
 
-// enqueue queues an update, or drops it if the queue is full.
-func (c *updates) enqueue(n sched.Update) {
+// enqueue queues a message, or drops it if the queue is full.
+func (c *updates) enqueue(m message) {
 	select {
-	case c.queue <- n:
+	case c.queue <- m:
 	default:
 	}
 }
@@ -54,15 +60,15 @@
 	c.peers.Store(&peers)
 }
 
-// send sends updates until ctx ends.
+// send sends messages until ctx ends.
 func (c *updates) send(ctx context.Context) {
 	var buf []byte
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case n := <-c.queue:
-			buf = n.Append(buf[:0])
+		case m := <-c.queue:
+			buf = m.Append(buf[:0])
 		}
 		peers := c.peers.Load()
 		if peers == nil || len(buf) > maxDatagram {
@@ -75,7 +81,7 @@
 	}
 }
 
-// receive applies updates until the socket is closed.
+// receive applies messages until the socket is closed.
 func (c *updates) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -83,11 +89,21 @@
 		if err != nil {
 			return
 		}
-		update, ok := sched.ParseUpdate(buf[:size])
-		if !ok {
+		if !c.apply(buf[:size]) {
 			c.n.log.Warn("node: received a malformed update", zap.Int("bytes", size))
-			continue
 		}
-		c.n.front.ApplyUpdate(update)
 	}
 }
+
+// apply applies a message and reports whether it was well formed.
+func (c *updates) apply(b []byte) bool {
+	if u, ok := sched.ParseUpdate(b); ok {
+		c.n.front.ApplyUpdate(u)
+		return true
+	}
+	if r, ok := poison.ParseReport(b); ok {
+		c.n.front.ApplyReport(r)
+		return true
+	}
+	return false
+}
