Keep quarantines over the end of all nodes

Cause: quarantines were kept in memory only, so they were known as long as one node lived, but not longer. Ruled out: rolling restarts; no engine crashed in them.

--- a/core/fleet/quarantine.go
+++ b/core/fleet/quarantine.go
@@ -14,14 +14,15 @@
 // prompt with all of them. Such prompts are rejected while it lasts.
 type Quarantine struct {
 	// Parts are the keys of the parts in ascending order.
-	Parts []uint64
+	Parts []uint64 `cbor:"parts"`
 	// Round increases each time that the quarantine of these parts begins again or is
 	// lifted.
-	Round uint64
+	Round uint64 `cbor:"round"`
 	// Lifted is set if a prompt with these parts was answered after all.
-	Lifted bool
-	// Left is the time until the quarantine ends, as of when the record was sent.
-	Left time.Duration
+	Lifted bool `cbor:"lifted"`
+	// Left is the time until the quarantine ends, as of when the record was sent or
+	// written.
+	Left time.Duration `cbor:"left"`
 }
 
 // Key identifies the set of parts.
--- a/io/node/host.go
+++ b/io/node/host.go
@@ -76,6 +76,7 @@
 	defer r.runKeeper(f, h)()
 	joining, cancel := context.WithCancel(ctx)
 	defer cancel()
+	r.n.wg.Go(func() { r.n.keepQuarantines(joining) })
 	r.n.wg.Go(func() {
 		if !f.Member() {
 			ctrl.Join(joining, r.n.log, r.n.client, raft.Member{ID: f.Identity.Member, Addr: r.n.self})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -80,6 +80,8 @@
 	policies  chan state.Published
 	published atomic.Pointer[state.Published]
 	changed   chan struct{}
+	// quarantined is signaled when the quarantines may have changed.
+	quarantined chan struct{}
 	// confirmed is set once a quorum has confirmed a policy since the start.
 	confirmed atomic.Bool
 }
@@ -89,10 +91,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		deps: deps, log: deps.Log, self: deps.Server.Addr(), cancel: cancel,
-		conns:    conns.NewPool(conns.DefaultOptions()),
-		client:   ctrl.NewClient(deps.Pool, deps.Seeds),
-		policies: make(chan state.Published, 1),
-		changed:  make(chan struct{}, 1),
+		conns:       conns.NewPool(conns.DefaultOptions()),
+		client:      ctrl.NewClient(deps.Pool, deps.Seeds),
+		policies:    make(chan state.Published, 1),
+		changed:     make(chan struct{}, 1),
+		quarantined: make(chan struct{}, 1),
 	}
 	id := fleet.NewNodeID(fleet.RoleEntry, deps.Rand)
 	n.budgets = newBudgets(n, id)
@@ -179,6 +182,10 @@
 	}
 	n.front.SetUpstreams(ups)
 	n.front.ApplyQuarantines(n.mesh.Quarantines())
+	select {
+	case n.quarantined <- struct{}{}:
+	default:
+	}
 	alive := n.mesh.Alive()
 	n.front.SetEntries(len(alive))
 	n.budgets.setWitnesses(alive)
