Log the limit that an upstream names

Cause: the hypotheses of the incident with limits could not be told apart, since logs name neither the limit nor how many requests each upstream gets. Nothing acts on it yet.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -30,6 +30,7 @@
 	mayHaveRun bool
 	// status is the HTTP status of the upstream's response, or 0 without one.
 	status int
+	limit  sched.RateLimit
 }
 
 func finalResult(o sched.Outcome) attemptResult { return attemptResult{outcome: o, final: true} }
@@ -43,6 +44,7 @@
 	defer a.Close()
 	res := c.handleResponse(ctx, a)
 	res.status = a.Status
+	res.limit = c.f.deps.Dialect.Limit(a.Header)
 	return res
 }
 
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -247,7 +247,7 @@
 	c.f.recordEnd(choice, res.outcome)
 	c.f.metrics.countAttempt(res.outcome)
 	t := attempt{
-		upstream: u.ID, addr: u.Addr.String(), choice: choice, outcome: res.outcome, status: res.status,
+		upstream: u.ID, addr: u.Addr.String(), choice: choice, outcome: res.outcome, status: res.status, limit: res.limit,
 		at: began.Sub(c.start), took: time.Since(began),
 	}
 	if res.outcome != sched.Served {
--- a/io/front/trail.go
+++ b/io/front/trail.go
@@ -16,6 +16,7 @@
 	choice   sched.Choice
 	outcome  sched.Outcome
 	status   int
+	limit    sched.RateLimit
 	// at is the time from the start of the request to that of the attempt.
 	at, took time.Duration
 	err      error
@@ -28,6 +29,9 @@
 	t.choice.Log(e.AddInt, e.AddDuration, e.AddFloat64)
 	e.AddString("outcome", t.outcome.String())
 	e.AddInt("status", t.status)
+	if t.limit.Named {
+		e.AddFloat64("limit", t.limit.PerSecond)
+	}
 	e.AddDuration("at", t.at.Round(time.Millisecond))
 	e.AddDuration("took", t.took.Round(time.Millisecond))
 	if t.err != nil {
