Keep to the limits that upstreams name, all nodes together

Callers saw nothing. Cause: nodes did not read the limit, and no node knows what the others send. Change: core/sched paces the requests of all nodes to an upstream by the limit that it names, from the updates on placements. Nodes tell each other limits. Long prompts go to limited engines first, since limits count requests. What would be late on the others is rejected at once as upstream_limited. Sides of a partition share the limit.

--- a/core/codec/reader.go
+++ b/core/codec/reader.go
@@ -2,8 +2,8 @@
 
 import "encoding/binary"
 
-// maxCount is the largest number that Reader.Count accepts.
-const maxCount = 1 << 30
+// MaxCount is the largest number that Reader.Count accepts.
+const MaxCount = 1 << 30
 
 // Reader decodes numbers from the front of a datagram. After the first malformed number it
 // returns zeros.
@@ -29,10 +29,10 @@
 	return v
 }
 
-// Count decodes an unsigned varint of at most maxCount.
+// Count decodes an unsigned varint of at most MaxCount.
 func (r *Reader) Count() int {
 	v, n := binary.Uvarint(r.b)
-	if n <= 0 || v > maxCount {
+	if n <= 0 || v > MaxCount {
 		r.malformed = true
 		return 0
 	}
--- a/core/gossip/machine.go
+++ b/core/gossip/machine.go
@@ -175,6 +175,12 @@
 	return m.peersWithin(now, SuspectAfter)
 }
 
+// Known returns the number of peers that have not left, including this node and those that
+// may be on the other side of a partition.
+func (m *Machine) Known(now time.Time) int {
+	return len(m.peersWithin(now, forgetPeerAfter))
+}
+
 func (m *Machine) peersWithin(now time.Time, maxAge time.Duration) []fleet.Peer {
 	var out []fleet.Peer
 	for _, p := range m.peers.All() {
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -54,6 +54,10 @@
 	// RecomputeWeight is the weight of the time that an engine spends on prefilling
 	// tokens that another engine has cached. That time is lost to other requests.
 	RecomputeWeight float64
+	// LimitCost is how much later the first token may be at another engine than at one
+	// that would get more than the limit that it names, less the time to prefill the whole
+	// prompt: limits are on requests, so limited engines should get the longest ones.
+	LimitCost time.Duration
 	// EjectAfter is the failure score at which an upstream is ejected. A failure that
 	// this node sees counts 1, one that another node reports counts half.
 	EjectAfter int
@@ -67,7 +71,7 @@
 // DefaultOptions returns the options that nodes use.
 func DefaultOptions() Options {
 	return Options{
-		HomeBonus: 20 * time.Millisecond, HomeRanks: 3, RecomputeWeight: 4,
+		HomeBonus: 20 * time.Millisecond, HomeRanks: 3, RecomputeWeight: 4, LimitCost: 400 * time.Millisecond,
 		EjectAfter: 2, EjectTime: time.Second, EjectShare: 0.4,
 	}
 }
@@ -81,6 +85,9 @@
 	services map[string][]*target
 	// tieBreak rotates the choice among equally loaded upstreams.
 	tieBreak uint64
+	// share is the share of an upstream's limit that the nodes in contact with this one may
+	// use.
+	share float64
 	// recent holds this node's latest 16 outcomes, with a set bit for each failure.
 	recent uint16
 	// candidates and homes are buffers that each decision reuses.
@@ -91,7 +98,7 @@
 // New returns a balancer without upstreams, for a node in the given place.
 func New(opts Options, place fleet.Place) *Balancer {
 	return &Balancer{
-		opts: opts, place: place,
+		opts: opts, place: place, share: 1,
 		targets: map[string]*target{}, byHash: map[uint64]*target{}, services: map[string][]*target{},
 	}
 }
@@ -122,18 +129,29 @@
 // Ready returns the number of upstreams of a service that accept requests.
 func (b *Balancer) Ready(service string) int { return len(b.services[service]) }
 
-// Pick chooses an upstream. It chooses an ejected one only if there is no other.
+// SetShare sets the share of an upstream's limit that the nodes in contact with this one
+// may use. The others may be on the other side of a partition and use the rest.
+func (b *Balancer) SetShare(share float64) { b.share = min(max(share, minShare), 1) }
+
+// minShare is the smallest share of a limit.
+const minShare = 0.001
+
+// Pick chooses an upstream below its limit. It chooses an ejected one only if there is no
+// other. If limits leave only engines that would make the request late, it chooses none.
 func (b *Balancer) Pick(now time.Time, q Query) (Choice, bool) {
 	list := b.services[q.Service]
 	for _, ejected := range []bool{false, true} {
-		if c, ok := b.pickFrom(now, q, list, ejected); ok {
-			return c, true
+		c, closed, ok := b.pickFrom(now, q, list, ejected)
+		if ok {
+			return c, !closed || q.Patience <= 0 || c.firstTokenIn() <= q.Patience
 		}
 	}
 	return Choice{}, false
 }
 
-func (b *Balancer) pickFrom(now time.Time, q Query, list []*target, ejected bool) (Choice, bool) {
+// pickFrom chooses one of the upstreams in list that are ejected, or of those that are not.
+// closed is set if the limits of some of them left these out.
+func (b *Balancer) pickFrom(now time.Time, q Query, list []*target, ejected bool) (c Choice, closed, ok bool) {
 	key, sticky := q.affinity()
 	b.candidates = b.candidates[:0]
 	b.homes = b.homes[:0]
@@ -145,23 +163,27 @@
 		if now.Before(t.ejectedUntil) != ejected || slices.Contains(q.Exclude, t.up.ID) {
 			continue
 		}
+		if t.limiter.opensIn(now, b.share) > 0 {
+			closed = true
+			continue
+		}
 		b.candidates = append(b.candidates, candidate{t: t, rank: ranks})
 		if sticky {
 			b.rank(home{t, mix(key ^ t.hash)}, ranks)
 		}
 	}
 	if len(b.candidates) == 0 {
-		return Choice{}, false
+		return Choice{}, closed, false
 	}
 	if !sticky {
-		t := b.leastLoaded()
-		return Choice{Upstream: t.up, InFlight: t.inFlight, Usable: len(b.candidates), Rank: -1, Slowdown: t.slowdown}, true
+		t := b.leastLoaded(now)
+		return Choice{Upstream: t.up, InFlight: t.inFlight, Usable: len(b.candidates), Rank: -1, Slowdown: t.slowdown}, closed, true
 	}
 	usable := len(b.candidates)
 	b.rankCandidates(len(list) > fullScanLimit)
-	c := b.earliestFirstToken(now, q)
+	c = b.earliestFirstToken(now, q)
 	c.Usable = usable
-	return c, true
+	return c, closed, true
 }
 
 // Limits on the number of upstreams that one decision considers.
@@ -235,6 +257,9 @@
 	for i, c := range b.candidates {
 		recompute := time.Duration(b.opts.RecomputeWeight * float64(c.t.prefillTime(c.uncached-least)))
 		cost := c.t.wait(now) + c.t.prefillTime(c.uncached) + recompute + time.Duration(c.rank)*b.opts.HomeBonus
+		if c.t.limiter.exceeds(now, b.share) {
+			cost += max(b.opts.LimitCost-fullPrefillTime(q.Input), 0)
+		}
 		if cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -242,9 +267,15 @@
 	c := b.candidates[best]
 	return Choice{
 		Upstream: c.t.up, InFlight: c.t.inFlight, Rank: c.rank, Uncached: c.uncached, Wait: c.t.wait(now), Slowdown: c.t.slowdown,
+		Prefill: c.t.prefillTime(c.uncached),
 	}
 }
 
+// fullPrefillTime returns the usual time to prefill a prompt of which nothing is cached.
+func fullPrefillTime(input int) time.Duration {
+	return time.Duration(input) * time.Second / prefillRate
+}
+
 // mix mixes the bits of a hash, with the finalizer of SplitMix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
@@ -254,15 +285,18 @@
 	return x ^ x>>31
 }
 
-// leastLoaded returns the candidate with the fewest requests in flight. It breaks ties
-// in round-robin order.
-func (b *Balancer) leastLoaded() *target {
+// leastLoaded returns the candidate with the fewest requests in flight, among those below
+// their limits if there are any. It breaks ties in round-robin order.
+func (b *Balancer) leastLoaded(now time.Time) *target {
 	b.tieBreak++
 	start := int(b.tieBreak % uint64(len(b.candidates)))
-	best := b.candidates[start].t
+	var best *target
+	var bestExceeds bool
 	for i := range b.candidates {
-		if t := b.candidates[(start+i)%len(b.candidates)].t; t.inFlight < best.inFlight {
-			best = t
+		t := b.candidates[(start+i)%len(b.candidates)].t
+		exceeds := t.limiter.exceeds(now, b.share)
+		if best == nil || bestExceeds && !exceeds || bestExceeds == exceeds && t.inFlight < best.inFlight {
+			best, bestExceeds = t, exceeds
 		}
 	}
 	return best
@@ -276,12 +310,39 @@
 		return c, Update{}, false
 	}
 	t.inFlight++
+	t.limiter.sent(now, b.share)
+	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
-		return c, Update{}, false
+		return c, u, t.limiter.limit.Named
 	}
-	c.Ticket = t.expectFirstToken(now.Add(prefillOverhead + c.Wait + t.prefillTime(c.Uncached)))
+	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
-	return c, Update{Upstream: t.hash, Uncached: c.Uncached, Parts: q.Parts}, len(q.Parts) <= maxUpdateParts
+	if len(q.Parts) > maxUpdateParts {
+		return c, u, t.limiter.limit.Named
+	}
+	u.Uncached, u.Parts = c.Uncached, q.Parts
+	return c, u, true
+}
+
+// Limit records the limit that an upstream named in a response, or that it named none. It
+// returns the update for the other nodes; send is false if there is none.
+func (b *Balancer) Limit(now time.Time, c Choice, limit RateLimit) (u Update, send bool) {
+	t, ok := b.targets[c.Upstream.ID]
+	if !ok || !t.up.Born.Equal(c.Upstream.Born) {
+		return Update{}, false
+	}
+	return Update{Kind: NamedLimit, Upstream: t.hash, Limit: limit}, t.limiter.set(now, limit)
+}
+
+// OpensIn returns the time until an upstream of the service is below its limit again; ok
+// is false if none is over its limit.
+func (b *Balancer) OpensIn(now time.Time, service string) (wait time.Duration, ok bool) {
+	for _, t := range b.services[service] {
+		if d := t.limiter.opensIn(now, b.share); d > 0 && (!ok || d < wait) {
+			wait, ok = d, true
+		}
+	}
+	return wait, ok
 }
 
 // FirstToken updates the estimates from an observed time to first token.
@@ -313,7 +374,7 @@
 		b.recordFailure(now, t, ownFailure)
 		// Don't report the failure if most of this node's requests fail: the fault is
 		// then likely to be on this node.
-		return Update{Upstream: t.hash, Failed: true}, bits.OnesCount16(b.recent) <= maxReportedFailures
+		return Update{Kind: Failure, Upstream: t.hash}, bits.OnesCount16(b.recent) <= maxReportedFailures
 	}
 	return Update{}, false
 }
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -26,6 +26,9 @@
 	// Input is the prompt's length in tokens, Output the maximum number of tokens that
 	// may be generated.
 	Input, Output int
+	// Patience is the longest time to the first token for which the request is sent to an
+	// engine while others can't be used because of their limits; 0 if there is none.
+	Patience time.Duration
 	// Exclude lists the upstreams that were already tried.
 	Exclude []string
 }
@@ -63,11 +66,16 @@
 	// if it is not one of them; -1 if the request has no homes.
 	Rank int
 	// Uncached is the number of prompt tokens that the upstream has to prefill, Wait
-	// the time until it has prefilled the prompts before this one, and Slowdown the
-	// factor by which it is slower than usual. All three are estimates.
+	// the time until it has prefilled the prompts before this one, Prefill the time to
+	// prefill this one, and Slowdown the factor by which the upstream is slower than usual.
+	// All four are estimates.
 	Uncached int
 	Wait     time.Duration
+	Prefill  time.Duration
 	Slowdown float64
 	// Ticket identifies the pending first token; 0 if none is expected.
 	Ticket uint64
 }
+
+// firstTokenIn returns the estimated time to the first token.
+func (c Choice) firstTokenIn() time.Duration { return prefillOverhead + c.Wait + c.Prefill }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -191,19 +191,10 @@
 
 func TestUpdateEncoding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		u := sched.Update{Upstream: rapid.Uint64().Draw(t, "upstream"), Failed: rapid.Bool().Draw(t, "failed")}
-		parts := rapid.IntRange(0, 5).Draw(t, "parts")
-		if u.Failed {
-			parts = 0
-		} else {
-			u.Uncached = rapid.IntRange(0, 1<<20).Draw(t, "uncached")
-		}
-		for range parts {
-			u.Parts = append(u.Parts, sched.PartKey{Key: rapid.Uint64().Draw(t, "key"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
-		}
+		u := drawUpdate(t)
 		b := u.Append(nil)
 		got, ok := sched.ParseUpdate(b)
-		if !ok || got.Upstream != u.Upstream || got.Failed != u.Failed || got.Uncached != u.Uncached || len(got.Parts) != len(u.Parts) {
+		if !ok || fmt.Sprint(got) != fmt.Sprint(u) {
 			t.Fatalf("got %+v, want %+v", got, u)
 		}
 		if cut := rapid.IntRange(0, len(b)-1).Draw(t, "cut"); cut < len(b) {
@@ -214,8 +205,26 @@
 	})
 }
 
+func drawUpdate(t *rapid.T) sched.Update {
+	kinds := []sched.UpdateKind{sched.Placement, sched.Failure, sched.NamedLimit}
+	u := sched.Update{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Upstream: rapid.Uint64().Draw(t, "upstream")}
+	switch u.Kind {
+	case sched.Placement:
+		u.Uncached = rapid.IntRange(0, 1<<20).Draw(t, "uncached")
+		for range rapid.IntRange(0, 5).Draw(t, "parts") {
+			u.Parts = append(u.Parts, sched.PartKey{Key: rapid.Uint64().Draw(t, "key"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
+		}
+	case sched.NamedLimit:
+		u.Limit.Named = rapid.Bool().Draw(t, "named")
+		if u.Limit.Named {
+			u.Limit.PerSecond = float64(rapid.IntRange(0, 1000).Draw(t, "limit"))
+		}
+	}
+	return u
+}
+
 func FuzzParseUpdate(f *testing.F) {
-	f.Add(sched.Update{Upstream: 7, Uncached: 900, Parts: []sched.PartKey{{Key: 1, Tokens: 2}}}.Append(nil))
+	f.Add(sched.Update{Kind: sched.Placement, Upstream: 7, Uncached: 900, Parts: []sched.PartKey{{Key: 1, Tokens: 2}}}.Append(nil))
 	f.Fuzz(func(_ *testing.T, b []byte) { sched.ParseUpdate(b) })
 }
 
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -52,6 +52,7 @@
 	pending    []pendingToken
 	lastTicket uint64
 	health     health
+	limiter    limiter
 	// ejectedUntil is the time until which the upstream is ejected.
 	ejectedUntil time.Time
 }
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -7,39 +7,54 @@
 	"dotterelgap/core/codec"
 )
 
-// Update tells other nodes that a prompt was placed on an upstream, or that an upstream
-// failed, so that all nodes have a similar view of the upstreams' load, caches and
-// health. It is sent as a datagram and may be lost.
+// UpdateKind is what an Update tells about an upstream.
+type UpdateKind uint8
+
+// The kinds of updates. Their values are part of the encoding.
+const (
+	// Placement means that a request was sent to the upstream.
+	Placement UpdateKind = iota + 1
+	// Failure means that a request failed at the upstream.
+	Failure
+	// NamedLimit means that the upstream named a limit, or names none any more.
+	NamedLimit
+)
+
+// Update tells other nodes that a request was placed on an upstream, that an upstream
+// failed or that it named a limit, so that all nodes have a similar view of the upstreams'
+// load, caches, health and limits. It is sent as a datagram and may be lost.
 type Update struct {
+	Kind UpdateKind
 	// Upstream is the hash of the upstream's id.
 	Upstream uint64
-	// Failed is set if a request failed at the upstream; the fields below are then empty.
-	Failed bool
-	// Uncached is the estimated number of tokens that the upstream has to prefill.
+	// Uncached is the estimated number of tokens that the upstream has to prefill for a
+	// placement of a prompt with these parts.
 	Uncached int
 	Parts    []PartKey
+	// Limit is the limit that the upstream names.
+	Limit RateLimit
 }
 
-// The kinds of updates in their encoding.
-const (
-	kindPlacement uint8 = iota + 1
-	kindFailure
-)
-
 // maxUpdateParts is the maximum number of parts in one update.
 const maxUpdateParts = 64
 
+// limitUnit is the unit in which limits are encoded, in requests per second.
+const limitUnit = 0.001
+
 // Append appends the encoding of the update to b.
 func (u Update) Append(b []byte) []byte {
-	kind := kindPlacement
-	if u.Failed {
-		kind = kindFailure
-	}
-	b = append(b, kind)
+	b = append(b, byte(u.Kind))
 	b = binary.LittleEndian.AppendUint64(b, u.Upstream)
-	if u.Failed {
-		return b
+	switch u.Kind {
+	case Placement:
+		return u.appendPlacement(b)
+	case NamedLimit:
+		return binary.AppendUvarint(b, u.Limit.encode())
 	}
+	return b
+}
+
+func (u Update) appendPlacement(b []byte) []byte {
 	b = binary.AppendUvarint(b, uint64(u.Uncached))
 	b = binary.AppendUvarint(b, uint64(len(u.Parts)))
 	for _, p := range u.Parts {
@@ -49,17 +64,23 @@
 	return b
 }
 
-// ParseUpdate decodes an update; ok is false if b is malformed.
+// ParseUpdate decodes an update; ok is false if b is not an update or malformed.
 func ParseUpdate(b []byte) (u Update, ok bool) {
-	if len(b) == 0 || b[0] != kindPlacement && b[0] != kindFailure {
+	if len(b) == 0 || UpdateKind(b[0]) < Placement || UpdateKind(b[0]) > NamedLimit {
 		return Update{}, false
 	}
 	r := codec.NewReader(b[1:])
-	u.Upstream = r.Fixed()
-	if b[0] == kindFailure {
-		u.Failed = true
-		return u, r.OK()
+	u = Update{Kind: UpdateKind(b[0]), Upstream: r.Fixed()}
+	switch u.Kind {
+	case Placement:
+		return u.parsePlacement(r)
+	case NamedLimit:
+		u.Limit = decodeLimit(r.Count())
 	}
+	return u, r.OK()
+}
+
+func (u Update) parsePlacement(r *codec.Reader) (Update, bool) {
 	u.Uncached = r.Count()
 	parts := r.Count()
 	if !r.OK() || parts > maxUpdateParts {
@@ -71,14 +92,34 @@
 	return u, r.OK()
 }
 
+// encode returns 0 for no limit, else 1 more than the limit in limitUnit.
+func (l RateLimit) encode() uint64 {
+	if !l.Named {
+		return 0
+	}
+	return 1 + uint64(min(l.PerSecond/limitUnit, codec.MaxCount-1))
+}
+
+func decodeLimit(n int) RateLimit {
+	if n == 0 {
+		return RateLimit{}
+	}
+	return RateLimit{Named: true, PerSecond: float64(n-1) * limitUnit}
+}
+
 // OnUpdate applies an update from another node.
 func (b *Balancer) OnUpdate(now time.Time, u Update) {
 	t, ok := b.byHash[u.Upstream]
-	switch {
-	case !ok:
-	case u.Failed:
+	if !ok {
+		return
+	}
+	switch u.Kind {
+	case Failure:
 		b.recordFailure(now, t, reportedFailure)
-	default:
+	case NamedLimit:
+		t.limiter.set(now, u.Limit)
+	case Placement:
 		t.recordPlacement(now, u.Parts, u.Uncached)
+		t.limiter.sent(now, b.share)
 	}
 }
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -42,9 +42,14 @@
 		return c.handleSendError(ctx, err)
 	}
 	defer a.Close()
+	limit := c.f.deps.Dialect.Limit(a.Header)
+	if limit.Named || !c.f.deps.Dialect.NotRun(a.Status, a.Header) {
+		// A response that rejects the request may come from another upstream at that address.
+		c.f.recordLimit(c.choice, limit)
+	}
 	res := c.handleResponse(ctx, a)
 	res.status = a.Status
-	res.limit = c.f.deps.Dialect.Limit(a.Header)
+	res.limit = limit
 	return res
 }
 
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -220,7 +220,7 @@
 		}
 		choice, ok := c.f.pick(c.query())
 		if !ok {
-			return last
+			return c.noChoiceError(last)
 		}
 		res := c.tryUpstream(ctx, choice)
 		if res.final {
@@ -237,6 +237,22 @@
 	return last
 }
 
+// retrySpread spreads the return of callers that were refused at the same time.
+const retrySpread = 700 * time.Millisecond
+
+// noChoiceError returns the error response of a request for which no upstream could be
+// chosen; last is that of its latest attempt.
+func (c *call) noChoiceError(last *responseError) *responseError {
+	wait, limited := c.f.limitOpensIn(c.service.Name)
+	if !limited || last != errNoUpstream {
+		return last
+	}
+	failure := *errUpstreamLimited
+	spread := time.Duration(xxhash.Sum64String(c.id) % uint64(retrySpread))
+	failure.retryAfter = max(failure.retryAfter, wait) + spread
+	return &failure
+}
+
 // tryUpstream makes one attempt at the chosen upstream and records its result.
 func (c *call) tryUpstream(ctx context.Context, choice sched.Choice) attemptResult {
 	u := choice.Upstream
@@ -260,6 +276,7 @@
 func (c *call) query() sched.Query {
 	return sched.Query{
 		Service: c.service.Name, Parts: c.parts, Input: c.info.Input, Output: c.info.Output, Exclude: c.tried,
+		Patience: min(c.route.Objective, c.timeLeft()),
 	}
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -129,11 +129,13 @@
 	})
 }
 
-// SetEntries sets the number of entries that share the retry budget.
-func (f *Front) SetEntries(n int) {
+// SetEntries sets the number of entries that share the retry budget and the limits of
+// upstreams: those that are alive as far as this node can tell, and those that it knows.
+func (f *Front) SetEntries(alive, known int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = max(n, 1)
+	f.entries = max(alive, 1)
+	f.balancer.SetShare(float64(f.entries) / float64(max(known, f.entries)))
 	for _, b := range f.retries {
 		b.SetBurst(f.deps.Retry.Burst / float64(f.entries))
 	}
@@ -226,6 +228,24 @@
 	f.balancer.FirstToken(c, took)
 }
 
+// recordLimit passes the limit that an upstream named, or that it named none, to the
+// balancer.
+func (f *Front) recordLimit(c sched.Choice, limit sched.RateLimit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u, send := f.balancer.Limit(time.Now(), c, limit); send {
+		f.deps.Broadcast(u)
+	}
+}
+
+// limitOpensIn returns the time until an upstream of the service is below its limit again;
+// ok is false if none is over its limit.
+func (f *Front) limitOpensIn(service string) (wait time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.OpensIn(time.Now(), service)
+}
+
 func (f *Front) recordEnd(c sched.Choice, o sched.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -205,6 +205,14 @@
 	return m.machine.Alive(time.Now())
 }
 
+// Known returns the number of nodes that have not left, including this one and those that
+// have not been heard for a while.
+func (m *Mesh) Known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Known(time.Now())
+}
+
 // Update changes this node's own record. An urgent change is sent to all live nodes
 // immediately.
 func (m *Mesh) Update(urgent bool, change func(*fleet.Peer)) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -187,7 +187,7 @@
 	default:
 	}
 	alive := n.mesh.Alive()
-	n.front.SetEntries(len(alive))
+	n.front.SetEntries(len(alive), n.mesh.Known())
 	n.budgets.setWitnesses(alive)
 	n.updates.setPeers(alive)
 	var control []netip.AddrPort
