--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -313,12 +313,12 @@
 	t.limiter.sent(now, b.share)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
-		return c, u, t.limiter.limit.Named
+		return c, u, t.limiter != nil
 	}
 	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
 	if len(q.Parts) > maxUpdateParts {
-		return c, u, t.limiter.limit.Named
+		return c, u, t.limiter != nil
 	}
 	u.Uncached, u.Parts = c.Uncached, q.Parts
 	return c, u, true
@@ -331,7 +331,7 @@
 	if !ok || !t.up.Born.Equal(c.Upstream.Born) {
 		return Update{}, false
 	}
-	return Update{Kind: NamedLimit, Upstream: t.hash, Limit: limit}, t.limiter.set(now, limit)
+	return Update{Kind: NamedLimit, Upstream: t.hash, Limit: limit}, t.setLimit(now, limit)
 }
 
 // OpensIn returns the time until an upstream of the service is below its limit again; ok
--- a/core/sched/limiter.go
+++ b/core/sched/limiter.go
@@ -44,7 +44,8 @@
 }
 
 // limiter compares the requests of all nodes to an upstream with the limit that it names.
-// Each node counts its own requests and those that the other nodes report.
+// Each node counts its own requests and those that the other nodes report. The nil limiter
+// is that of an upstream without a limit.
 type limiter struct {
 	limit RateLimit
 	// named paces requests by the limit itself, and bound by the most that may be sent.
@@ -52,21 +53,29 @@
 	announcedAt  time.Time
 }
 
-// set records the limit and reports whether it is to be sent to the other nodes.
-func (l *limiter) set(now time.Time, limit RateLimit) (announce bool) {
-	changed := limit != l.limit
-	l.limit = limit
-	if !changed && (!limit.Named || now.Sub(l.announcedAt) < announceInterval) {
+// setLimit records the limit that the upstream names and reports whether it is to be sent
+// to the other nodes.
+func (t *target) setLimit(now time.Time, limit RateLimit) (announce bool) {
+	if !limit.Named {
+		announce = t.limiter != nil
+		t.limiter = nil
+		return announce
+	}
+	if t.limiter == nil {
+		t.limiter = &limiter{}
+	}
+	l := t.limiter
+	if limit == l.limit && now.Sub(l.announcedAt) < announceInterval {
 		return false
 	}
-	l.announcedAt = now
+	l.limit, l.announcedAt = limit, now
 	return true
 }
 
 // sent counts a request of this or another node. share is the share of the limit that the
 // nodes in contact with this one may use.
 func (l *limiter) sent(now time.Time, share float64) {
-	if l.limit.Named {
+	if l != nil {
 		l.named.sent(now, l.namedInterval(share))
 		l.bound.sent(now, l.boundInterval(share))
 	}
@@ -74,12 +83,12 @@
 
 // exceeds reports whether one more request would exceed the limit.
 func (l *limiter) exceeds(now time.Time, share float64) bool {
-	return l.limit.Named && l.named.opensIn(now, l.namedInterval(share)) > 0
+	return l != nil && l.named.opensIn(now, l.namedInterval(share)) > 0
 }
 
 // opensIn returns the time until a request may be sent, 0 if one may be sent now.
 func (l *limiter) opensIn(now time.Time, share float64) time.Duration {
-	if !l.limit.Named {
+	if l == nil {
 		return 0
 	}
 	return l.bound.opensIn(now, l.boundInterval(share))
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -52,7 +52,8 @@
 	pending    []pendingToken
 	lastTicket uint64
 	health     health
-	limiter    limiter
+	// limiter is nil while the upstream names no limit.
+	limiter *limiter
 	// ejectedUntil is the time until which the upstream is ejected.
 	ejectedUntil time.Time
 }
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -117,7 +117,7 @@
 	case Failure:
 		b.recordFailure(now, t, reportedFailure)
 	case NamedLimit:
-		t.limiter.set(now, u.Limit)
+		t.setLimit(now, u.Limit)
 	case Placement:
 		t.recordPlacement(now, u.Parts, u.Uncached)
 		t.limiter.sent(now, b.share)
