Treat a stream that ends within an event as broken off

Seen: a caller of a stream without length or chunks got a complete response though its engine had ended within an event, or before the first one. Cause: the bytes after the last event were passed on and the response ended as complete; the end of an unframed body was taken for its end in any case. Ruled out: unframed responses as such; complete ones were passed on. Change: bytes after the last event, or no event in an unframed stream, count as broken off. The connection to the caller is aborted, or it gets 502. Tests: three of four new cases of TestOutcomes failed before (a truncated response looked complete; 200 != 502), the fourth is the complete stream. Conclusion: an unframed stream is complete only if it ends with a whole event.

--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -78,7 +78,8 @@
 			c.responding.Store(true)
 			out := &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: reused,
-				pool: p, addr: addr, conn: c, resp: resp, wrote: wrote, stop: stop, clean: !stray,
+				Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+				pool:   p, addr: addr, conn: c, resp: resp, wrote: wrote, stop: stop, clean: !stray,
 			}
 			out.Body = bodyReader{out}
 			return out, nil
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -15,6 +15,9 @@
 	Body io.Reader
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
+	// Framed is set if the body has a length or chunks. Otherwise it ends with its
+	// connection, and may have been broken off.
+	Framed bool
 	// Reused is set if the connection had served another request before.
 	Reused bool
 
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -100,6 +100,9 @@
 
 const responseHead = "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+// unframedHead is the head of a response without a length, which ends with its connection.
+const unframedHead = "HTTP/1.1 200 OK\r\nId: r1\r\n\r\n"
+
 // chunk returns one chunk of a chunked response.
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
@@ -130,6 +133,26 @@
 			_, _ = io.WriteString(c, responseHead+chunk(event(0)+event(1)[:7]))
 			_ = c.Close()
 		}, status: 200, body: event(0), truncated: true, billed: 903},
+		"no length, complete stream": {upstream: func(w http.ResponseWriter, _ *http.Request) {
+			c := hijack(w)
+			_, _ = io.WriteString(c, unframedHead+event(0)+event(1))
+			_ = c.Close()
+		}, status: 200, body: event(0) + event(1), billed: 906},
+		"no length, ends within an event": {upstream: func(w http.ResponseWriter, _ *http.Request) {
+			c := hijack(w)
+			_, _ = io.WriteString(c, unframedHead+event(0)+event(1)[:7])
+			_ = c.Close()
+		}, status: 200, body: event(0), truncated: true, billed: 903},
+		"no length, ends before the first event": {upstream: func(w http.ResponseWriter, _ *http.Request) {
+			c := hijack(w)
+			_, _ = io.WriteString(c, unframedHead)
+			_ = c.Close()
+		}, status: 502, body: `{"error":"in_doubt"}`, billed: 0},
+		"complete chunks, ends within an event": {upstream: func(w http.ResponseWriter, _ *http.Request) {
+			c := hijack(w)
+			_, _ = io.WriteString(c, responseHead+chunk(event(0)+event(1)[:7])+"0\r\n\r\n")
+			_ = c.Close()
+		}, status: 200, body: event(0), truncated: true, billed: 903},
 		"reports that it did not run": {upstream: func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Id", "r1")
 			w.Header().Set("Not-Run", "1")
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -75,6 +75,7 @@
 func (s *streamRelay) copy(a *conns.Response) error {
 	buf := make([]byte, relayBufferSize)
 	begun := false
+	earlier := s.events
 	for {
 		n, err := a.Body.Read(buf)
 		if n > 0 {
@@ -88,6 +89,9 @@
 			}
 		}
 		if err == io.EOF {
+			if !a.Framed && s.events == earlier {
+				return io.ErrUnexpectedEOF
+			}
 			return s.finish(a)
 		}
 		if err != nil {
@@ -157,10 +161,10 @@
 	return nil
 }
 
-// finish writes what follows the last complete event, if anything.
+// finish completes the response. A stream that ends within an event has been broken off.
 func (s *streamRelay) finish(a *conns.Response) error {
-	if len(s.pending) > 0 {
-		return s.write(a, s.pending)
+	if len(bytes.TrimSpace(s.pending)) > 0 {
+		return io.ErrUnexpectedEOF
 	}
 	s.writeHead(a)
 	return nil
