Limit what an upstream may send before its response

Seen: an upstream that sends bytes without end before the body of its response fills the node's memory, or holds the request until its deadline. Cause: the head of a response was read without a limit on its size, and interim and stray responses without one on their number. Ruled out: bodies. Change: at most 512 KB may come before the body; then the connection is closed and the attempt counts as lost. Conclusion: what an upstream can make a node hold is bounded.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -26,8 +26,9 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
-	br   *bufio.Reader
-	uses int
+	meter *meter
+	br    *bufio.Reader // reads from meter
+	uses  int
 	// idleSince is when the last response ended. keepAlive is the idle timeout that the
 	// upstream announced, or 0.
 	idleSince time.Time
@@ -37,7 +38,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer)}
+	m := &meter{r: c}
+	return &conn{Conn: c, meter: m, br: bufio.NewReaderSize(m, readBuffer)}
 }
 
 // cancelTimeout is how long an upstream may take to close its side of a connection
@@ -140,8 +142,10 @@
 }
 
 // read reads the response to r. It skips interim responses and responses to earlier
-// requests; stray is set if there was one of the latter.
+// requests, up to maxBeforeResponse; stray is set if there was one of the latter.
 func (c *conn) read(r *Request) (resp *http.Response, stray bool, err error) {
+	c.meter.limit(maxBeforeResponse)
+	defer c.meter.unlimit()
 	if _, err := c.br.Peek(1); err == io.EOF {
 		return nil, false, errNoResponse
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -91,6 +91,15 @@
 	return c
 }
 
+// writeUntilClosed writes begin and then bytes without end, until the connection is closed.
+func writeUntilClosed(c net.Conn, begin string) {
+	defer func() { _ = c.Close() }()
+	_, err := io.WriteString(c, begin)
+	for block := strings.Repeat("x", 1024); err == nil; {
+		_, err = io.WriteString(c, block)
+	}
+}
+
 // waitCanceled waits until the caller cancels the request. The server detects that
 // only after the body has been read.
 func waitCanceled(r *http.Request) {
@@ -153,6 +162,12 @@
 			_, _ = io.WriteString(c, responseHead+chunk(event(0)+event(1)[:7])+"0\r\n\r\n")
 			_ = c.Close()
 		}, status: 200, body: event(0), truncated: true, billed: 903},
+		"bytes without end, no event": {upstream: func(w http.ResponseWriter, _ *http.Request) {
+			writeUntilClosed(hijack(w), unframedHead)
+		}, status: 502, body: `{"error":"in_doubt"}`, billed: 0},
+		"bytes without end after an event": {upstream: func(w http.ResponseWriter, _ *http.Request) {
+			writeUntilClosed(hijack(w), unframedHead+event(0))
+		}, status: 200, body: event(0), truncated: true, billed: 903},
 		"reports that it did not run": {upstream: func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Id", "r1")
 			w.Header().Set("Not-Run", "1")
