Make TestBusyProcessKeepsItsConnections deterministic

Cause: the test depends on real time. If the process pauses for more than 50 ms, timeout and reply are both there (shown earlier by pauses of 90 ms). Ruled out: the pool; it returns what arrived. Conclusion: as strict as before, without real time.

--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -20,6 +20,8 @@
 // Pool keeps one net/rpc connection per address.
 type Pool struct {
 	tls *tls.Config
+	// clock returns the time since a fixed moment, on the monotonic clock.
+	clock func() time.Duration
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*lazyClient
@@ -45,8 +47,7 @@
 type client struct {
 	*rpc.Client
 	conn *readTimeConn
-	// oldestCall is when the first call after the last read was sent, as the time since
-	// epoch.
+	// oldestCall is when the first call after the last read was sent, by the pool's clock.
 	oldestCall atomic.Int64
 }
 
@@ -55,21 +56,18 @@
 // other calls share the connection and a new one costs both processes more than a reply.
 const responseTimeout = 500 * time.Millisecond
 
-// epoch is the reference time of the times in client and readTimeConn, on the monotonic
-// clock.
-var epoch = time.Now()
-
-// readTimeConn records when bytes were last read, as the time since epoch. A connection
-// may stop delivering bytes for good without a reset.
+// readTimeConn records when bytes were last read, by the pool's clock. A connection may
+// stop delivering bytes for good without a reset.
 type readTimeConn struct {
 	net.Conn
+	clock    func() time.Duration
 	lastRead atomic.Int64
 }
 
 func (c *readTimeConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.lastRead.Store(int64(time.Since(epoch)))
+		c.lastRead.Store(int64(c.clock()))
 	}
 	return n, err
 }
@@ -77,7 +75,7 @@
 // noteCall records that a call is sent.
 func (c *client) noteCall() {
 	if c.conn.lastRead.Load() >= c.oldestCall.Load() {
-		c.oldestCall.Store(int64(time.Since(epoch)))
+		c.oldestCall.Store(int64(c.conn.clock()))
 	}
 }
 
@@ -85,12 +83,14 @@
 // last read.
 func (c *client) unresponsive() bool {
 	oldest := c.oldestCall.Load()
-	return c.conn.lastRead.Load() < oldest && time.Since(epoch)-time.Duration(oldest) > responseTimeout
+	return c.conn.lastRead.Load() < oldest && c.conn.clock()-time.Duration(oldest) > responseTimeout
 }
 
 // NewPool returns a pool without connections.
 func NewPool(cfg *tls.Config) *Pool {
-	return &Pool{tls: cfg, clients: map[netip.AddrPort]*lazyClient{}}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	return &Pool{tls: cfg, clock: clock, clients: map[netip.AddrPort]*lazyClient{}}
 }
 
 // UnknownOutcomeError reports that a call was sent and got no reply: the peer may have
@@ -206,7 +206,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &readTimeConn{Conn: raw}
+	conn := &readTimeConn{Conn: raw, clock: p.clock}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	if _, err := io.WriteString(conn, "CONNECT "+rpc.DefaultRPCPath+" HTTP/1.0\n\n"); err != nil {
