Limit a keeper's batch to its queue

Cause: run added to its batch as long as callers refilled the queue, so a batch had no limit, and on a slow disk the first raise waited for all later ones. Ruled out: the disk of the test; the goroutines showed batches of 258 to 504. Change: a batch has at most as many raises as the queue.

--- a/io/node/keeper.go
+++ b/io/node/keeper.go
@@ -20,7 +20,8 @@
 	keeperFile = "raises"
 	// compactSize is the size, in bytes, above which the journal is compacted.
 	compactSize = 256 << 10
-	// keeperQueue bounds the raises that wait to be written.
+	// keeperQueue bounds the raises that wait to be written, and those that are written with
+	// one sync.
 	keeperQueue = 256
 )
 
@@ -78,7 +79,7 @@
 	return k, nil
 }
 
-// run writes the queued raises until ctx ends. It writes all that are queued with one
+// run writes the queued raises until ctx ends. It writes up to keeperQueue of them with one
 // sync.
 func (k *keeper) run(ctx context.Context) {
 	for {
@@ -89,7 +90,7 @@
 		case e := <-k.queue:
 			batch = append(batch, e)
 		}
-		for len(k.queue) > 0 {
+		for len(k.queue) > 0 && len(batch) < keeperQueue {
 			batch = append(batch, <-k.queue)
 		}
 		k.write(batch)
