Forget quarantines that have ended

A node that remembers a quarantine that has ended ignored a new one of the same parts with a lower round, begun by a node that did not know the first. Cause: Merge and Tracks did not ask whether the remembered quarantine still holds. Ruled out: the rest of the detector; 3,000 simulated fleets pass. Change: both ask. Tests: TestNewQuarantineAfterOneThatEnded and TestAnswersAreNotReportedAfterAQuarantine failed before. Conclusion: a quarantine that has ended only leaves its parts under suspicion.

--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -63,14 +63,14 @@
 
 // Tracks reports whether an answer to a prompt with these parts changes anything here or
 // at other nodes, so that it is to be reported.
-func (d *Detector) Tracks(parts []uint64) bool {
+func (d *Detector) Tracks(now time.Time, parts []uint64) bool {
 	for _, p := range parts {
 		if _, ok := d.suspects[p]; ok {
 			return true
 		}
 	}
 	for _, q := range d.quarantines {
-		if !q.Lifted && containsAll(parts, q.Parts) {
+		if q.holds(now) && containsAll(parts, q.Parts) {
 			return true
 		}
 	}
@@ -181,7 +181,7 @@
 		return false
 	}
 	old, ok := d.quarantines[q.Key()]
-	if ok && !q.Newer(old.Quarantine) {
+	if ok && now.Before(old.until) && !q.Newer(old.Quarantine) {
 		return false
 	}
 	d.put(now, q)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -108,3 +108,29 @@
 		_, _ = poison.ParseReport(rapid.SliceOf(rapid.Byte()).Draw(t, "bytes"))
 	})
 }
+
+// Guards against a node ignoring a quarantine because it remembers an earlier one of the
+// same parts that has ended.
+func TestNewQuarantineAfterOneThatEnded(t *testing.T) {
+	is := is.New(t)
+	d := poison.NewDetector()
+	q := fleet.Quarantine{Parts: keys([]string{"d"}), Round: 2, Left: time.Minute}
+	is.True(d.Merge(start, q))
+	later := start.Add(2 * time.Minute)
+	q.Round = 1 // of a node that does not know the earlier one
+	is.True(d.Merge(later, q))
+	_, ok := d.Quarantined(later, q.Parts)
+	is.True(ok)
+}
+
+// Guards against nodes reporting each answer for as long as they remember a quarantine
+// that has ended.
+func TestAnswersAreNotReportedAfterAQuarantine(t *testing.T) {
+	is := is.New(t)
+	d := poison.NewDetector()
+	parts := keys([]string{"d"})
+	d.Merge(start, fleet.Quarantine{Parts: parts, Round: 1, Left: time.Minute})
+	later := start.Add(2 * time.Minute)
+	d.Report(later, poison.Report{Kind: poison.Answered, Parts: parts})
+	is.True(!d.Tracks(later, parts))
+}
--- a/core/poison/sim_test.go
+++ b/core/poison/sim_test.go
@@ -91,7 +91,7 @@
 	if _, ok := s.nodes[at].Quarantined(s.now, parts); ok {
 		s.t.Fatalf("a sound request was rejected after %d crashes", s.crashes)
 	}
-	if s.nodes[at].Tracks(parts) {
+	if s.nodes[at].Tracks(s.now, parts) {
 		s.report(at, poison.Report{Kind: poison.Answered, Parts: parts}, lost)
 	}
 }
--- a/io/front/guard.go
+++ b/io/front/guard.go
@@ -48,7 +48,7 @@
 // answered records that the first event of a response, or a whole one, arrived.
 func (g *guard) answered(parts []uint64) {
 	g.mu.Lock()
-	tracked := g.detector.Tracks(parts)
+	tracked := g.detector.Tracks(time.Now(), parts)
 	g.mu.Unlock()
 	if tracked {
 		g.report(poison.Report{Kind: poison.Answered, Parts: parts})
