Write quarantines that arrive before the data folder is open

Seen: found in reading. A node that got a quarantine from another one before it had opened its data folder did not write it, so it was lost if all nodes ended before the next change. Cause: the list that the writer compares with came from the mesh, not from the file. Ruled out: none to rule out. Change: it comes from the file. Figures: none measured. Conclusion: what the folder has is compared with what is known.

--- a/core/gossip/doc.go
+++ b/core/gossip/doc.go
@@ -1,7 +1,7 @@
 // Package gossip replicates soft state between nodes that initially know only a few seed
 // addresses: which other nodes there are, which upstreams send heartbeats, which routing
-// policy is in force, and which prompt parts are quarantined. The state is eventually consistent, so no safety property
-// may depend on it.
+// policy is in force, and which prompt parts are quarantined. The state is eventually
+// consistent, so no safety property may depend on it.
 //
 // Machine does no I/O. Its driver calls Partners at an interval, exchanges deltas with the
 // nodes that it returns, and passes their replies to OnReply. A delta contains only the
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -230,8 +230,3 @@
 		d.suspects[p] = s
 	}
 }
-
-// Size returns the numbers of suspects and quarantines that are kept.
-func (d *Detector) Size() (suspects, quarantines int) {
-	return len(d.suspects), len(d.quarantines)
-}
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -16,6 +16,6 @@
 //	if left, ok := d.Quarantined(now, parts); ok {
 //		// reject the request
 //	}
-//	begun := d.Report(now, poison.Report{Kind: poison.Broken, Upstream: crash, Parts: parts})
+//	changed := d.Report(now, poison.Report{Kind: poison.Broken, Upstream: crash, Parts: parts})
 //	d.Merge(now, quarantineFromPeer)
 package poison
--- a/io/node/quarantines.go
+++ b/io/node/quarantines.go
@@ -33,7 +33,7 @@
 		q.Left -= max(time.Since(saved.SavedAt), 0)
 		n.mesh.Quarantine(q)
 	}
-	last := n.mesh.Quarantines()
+	last := saved.Quarantines
 	for {
 		select {
 		case <-ctx.Done():
