Name limiters where comments meant the most that may be sent

Cause: a newcomer's reading: three comments said that an upstream is below its limit where they meant that its limiter still allows a request, which is more. Conclusion: one word for one thing.

--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -136,8 +136,9 @@
 // minShare is the smallest share of a limit.
 const minShare = 0.001
 
-// Pick chooses an upstream below its limit. It chooses an ejected one only if there is no
-// other. If limits leave only engines that would make the request late, it chooses none.
+// Pick chooses an upstream that its limiter allows. It chooses an ejected one only if there
+// is no other. If limiters leave only engines that would make the request late, it chooses
+// none.
 func (b *Balancer) Pick(now time.Time, q Query) (Choice, bool) {
 	list := b.services[q.Service]
 	for _, ejected := range []bool{false, true} {
@@ -150,7 +151,7 @@
 }
 
 // pickFrom chooses one of the upstreams in list that are ejected, or of those that are not.
-// closed is set if the limits of some of them left these out.
+// closed is set if the limiters of some of them left these out.
 func (b *Balancer) pickFrom(now time.Time, q Query, list []*target, ejected bool) (c Choice, closed, ok bool) {
 	key, sticky := q.affinity()
 	b.candidates = b.candidates[:0]
@@ -334,8 +335,8 @@
 	return Update{Kind: NamedLimit, Upstream: t.hash, Limit: limit}, t.setLimit(now, limit)
 }
 
-// OpensIn returns the time until an upstream of the service is below its limit again; ok
-// is false if none is over its limit.
+// OpensIn returns the time until the limiter of an upstream of the service allows a request
+// again; ok is false if all of them allow one now.
 func (b *Balancer) OpensIn(now time.Time, service string) (wait time.Duration, ok bool) {
 	for _, t := range b.services[service] {
 		if d := t.limiter.opensIn(now, b.share); d > 0 && (!ok || d < wait) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -238,8 +238,8 @@
 	}
 }
 
-// limitOpensIn returns the time until an upstream of the service is below its limit again;
-// ok is false if none is over its limit.
+// limitOpensIn returns the time until an upstream of the service that its limit leaves out
+// may get a request again; ok is false if there is none.
 func (f *Front) limitOpensIn(service string) (wait time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
