Keep SIGHUP from ending a process that starts or stops

Cause: SIGHUP was caught by the loop that reads the settings. Its end, with SIGTERM, gave the signal its default action back for the whole stop, and before the loop began it had it too. Entries, agents and control hosts never caught it. Evidence: the exit status "signal: hangup", and no log line after "node: stopping". Ruled out: the stop's time limit, and the new seeds.

Change: io/sigs catches SIGTERM, SIGINT and SIGHUP in the first line of the program and keeps them until the process exits. The settings are read until the node is closed. Commands that are run in a terminal stop on SIGHUP, as they ended before.

--- a/commands/agent.go
+++ b/commands/agent.go
@@ -6,6 +6,7 @@
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/runs"
 	"dotterelgap/io/agent"
+	"dotterelgap/io/sigs"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap"
@@ -45,16 +46,16 @@
 			if err := s.check("place", "internal", "control", "service", "upstream"); err != nil {
 				return err
 			}
-			return runAgent(ctx, s)
+			return runAgent(ctx, t.signals, s)
 		},
 	}
 }
 
-func runAgent(ctx context.Context, s *Settings) error {
+func runAgent(ctx context.Context, signals *sigs.Signals, s *Settings) error {
 	if _, err := s.upstreamURL(); err != nil {
 		return err
 	}
-	p, err := startProcess(s, "agent")
+	p, err := startProcess(signals, s, "agent")
 	if err != nil {
 		return err
 	}
--- a/commands/control.go
+++ b/commands/control.go
@@ -12,6 +12,7 @@
 	"dotterelgap/core/raft"
 	"dotterelgap/io/ctrl"
 	"dotterelgap/io/disk"
+	"dotterelgap/io/sigs"
 	"dotterelgap/io/wire"
 
 	"github.com/gravitational/trace"
@@ -51,13 +52,13 @@
 			if err := s.check("listen", "internal", "control", "data_dir"); err != nil {
 				return err
 			}
-			return runControl(ctx, s, *bootstrap)
+			return runControl(ctx, t.signals, s, *bootstrap)
 		},
 	}
 }
 
-func runControl(ctx context.Context, s *Settings, bootstrap bool) error {
-	p, err := startProcess(s, "control")
+func runControl(ctx context.Context, signals *sigs.Signals, s *Settings, bootstrap bool) error {
+	p, err := startProcess(signals, s, "control")
 	if err != nil {
 		return err
 	}
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -7,6 +7,7 @@
 	"dotterelgap/core/escrow"
 	"dotterelgap/core/fleet"
 	"dotterelgap/io/entry"
+	"dotterelgap/io/sigs"
 
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -43,13 +44,13 @@
 			if err := s.check("place", "listen", "internal", "control"); err != nil {
 				return err
 			}
-			return runEntry(ctx, s)
+			return runEntry(ctx, t.signals, s)
 		},
 	}
 }
 
-func runEntry(ctx context.Context, s *Settings) error {
-	p, err := startProcess(s, "entry")
+func runEntry(ctx context.Context, signals *sigs.Signals, s *Settings) error {
+	p, err := startProcess(signals, s, "entry")
 	if err != nil {
 		return err
 	}
--- a/commands/node.go
+++ b/commands/node.go
@@ -5,12 +5,12 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
+	"sync"
 	"time"
 
 	"dotterelgap/io/node"
+	"dotterelgap/io/sigs"
 	"dotterelgap/io/telem"
 	"dotterelgap/io/wire"
 	"dotterelgap/platform"
@@ -58,12 +58,12 @@
 			if *file == "" {
 				return &UsageError{Message: "needs -config"}
 			}
-			return runNode(ctx, *file)
+			return runNode(ctx, t.signals, *file)
 		},
 	}
 }
 
-func runNode(ctx context.Context, file string) error {
+func runNode(ctx context.Context, signals *sigs.Signals, file string) error {
 	s, err := readNodeSettings(file)
 	if err != nil {
 		return err
@@ -82,11 +82,16 @@
 		return err
 	}
 	t.Log.Info("node: listening", zap.Stringer("callers", s.Listen), zap.Stringer("internal", s.Internal))
-	watchSettings(ctx, t.Log, file, n)
+	closed := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() { watchSettings(closed, signals.Hangups(), t.Log, file, n) })
+	<-ctx.Done()
 	t.Log.Info("node: stopping")
 	closeCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout.Std()-stopMargin)
 	defer cancel()
 	_, err = n.Close(closeCtx)
+	close(closed)
+	watching.Wait()
 	t.Log.Info("node: stopped", zap.Error(err))
 	return trace.NewAggregate(err, t.Close())
 }
@@ -147,20 +152,17 @@
 // change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings reads the settings again when they change or on SIGHUP, until ctx
-// ends. Only the seeds of a running node can be changed.
-func watchSettings(ctx context.Context, log *zap.Logger, file string, n *node.Node) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// watchSettings reads the settings again when they change and on SIGHUP, until the node is
+// closed. Only the seeds of a running node can be changed.
+func watchSettings(closed <-chan struct{}, hangups <-chan os.Signal, log *zap.Logger, file string, n *node.Node) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModified := modTime(file)
 	for {
 		select {
-		case <-ctx.Done():
+		case <-closed:
 			return
-		case <-hup:
+		case <-hangups:
 		case <-ticker.C:
 			if modTime(file).Equal(lastModified) {
 				continue
--- a/commands/process.go
+++ b/commands/process.go
@@ -9,6 +9,7 @@
 	"fmt"
 	mathrand "math/rand/v2"
 
+	"dotterelgap/io/sigs"
 	"dotterelgap/io/telem"
 	"dotterelgap/io/wire"
 
@@ -25,15 +26,24 @@
 	rnd    *mathrand.Rand
 }
 
-// startProcess sets up telemetry, TLS and the internal listener.
-func startProcess(s *Settings, role string) (*process, error) {
+// startProcess sets up signals, telemetry, TLS and the internal listener.
+func startProcess(signals *sigs.Signals, s *Settings, role string) (*process, error) {
 	t, err := telem.Start(s.telemetry(), role)
 	if err != nil {
 		return nil, err
 	}
+	go logHangups(t.Log, signals, role)
 	return newProcess(t, s, role)
 }
 
+// logHangups logs each SIGHUP until the process exits. Settings of these roles come from flags
+// and the environment, which do not change while the process runs.
+func logHangups(log *zap.Logger, signals *sigs.Signals, role string) {
+	for range signals.Hangups() {
+		log.Info(role + ": SIGHUP has no effect; settings are read at the start only")
+	}
+}
+
 // newProcess sets up TLS and the internal listener.
 func newProcess(t *telem.Telemetry, s *Settings, role string) (*process, error) {
 	tlsConfig, err := s.keys().TLS()
--- a/commands/root.go
+++ b/commands/root.go
@@ -6,10 +6,9 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
 	"strings"
-	"syscall"
+
+	"dotterelgap/io/sigs"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -19,19 +18,18 @@
 // flag -log-level.
 const envPrefix = "DOTTERELGAP"
 
-// terminal holds the input and output streams of a command.
+// terminal holds the input and output streams of a command, and the signals of its process.
 type terminal struct {
-	in  io.Reader
-	out io.Writer
-	err io.Writer
+	in      io.Reader
+	out     io.Writer
+	err     io.Writer
+	signals *sigs.Signals
 }
 
 // Execute runs the command line and returns the exit code.
 func Execute(args []string, in io.Reader, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	t := &terminal{in: in, out: out, err: errOut}
-	err := newRoot(t).ParseAndRun(ctx, args)
+	t := &terminal{signals: sigs.Catch(), in: in, out: out, err: errOut}
+	err := newRoot(t).ParseAndRun(t.signals.Context(), args)
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		_, _ = fmt.Fprintln(errOut, "dotterelgap:", err)
 	}
@@ -58,11 +56,11 @@
   dotterelgap dev
 `),
 		FlagSet: fs,
-		Subcommands: []*ffcli.Command{
-			newEntry(t), newAgent(t), newControl(t), newNode(t), newDev(t),
-			newCheck(t), newDiff(t), newExplain(t), newApply(t), newPromote(t), newTopUp(t), newCustomer(t),
-			newStatus(t), newDrain(t), newReplace(t), newWriteOff(t), newOrder(t), newKeygen(t), newStandIn(t), newExperiment(t), newLoad(t), newVersion(t),
-		},
+		Subcommands: append([]*ffcli.Command{newEntry(t), newAgent(t), newControl(t), newNode(t)}, t.endedByHangup(
+			newDev(t), newCheck(t), newDiff(t), newExplain(t), newApply(t), newPromote(t), newTopUp(t), newCustomer(t),
+			newStatus(t), newDrain(t), newReplace(t), newWriteOff(t), newOrder(t), newKeygen(t), newStandIn(t),
+			newExperiment(t), newLoad(t), newVersion(t),
+		)...),
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return &UsageError{Message: fmt.Sprintf("unknown subcommand %q; see 'dotterelgap -h'", args[0])}
@@ -72,6 +70,18 @@
 	}
 }
 
+// endedByHangup makes commands that are run in a terminal stop when it is closed.
+func (t *terminal) endedByHangup(commands ...*ffcli.Command) []*ffcli.Command {
+	for _, c := range commands {
+		run := c.Exec
+		c.Exec = func(ctx context.Context, args []string) error {
+			t.signals.StopOnHangup()
+			return run(ctx, args)
+		}
+	}
+	return commands
+}
+
 func newFlagSet(t *terminal, name string) *flag.FlagSet {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.SetOutput(t.err)
