Keep a closed log from ending a process that serves

Callers would see: if the reader of a process's log ends, the next line that it writes ends the process with SIGPIPE, and all its requests with it.

Cause: the Go runtime ends a process that writes to a closed pipe as its standard output or error, unless SIGPIPE is ignored or caught. Change: processes that serve ignore it; commands of operators still end if what reads their output ends.

--- a/commands/node.go
+++ b/commands/node.go
@@ -64,6 +64,7 @@
 }
 
 func runNode(ctx context.Context, signals *sigs.Signals, file string) error {
+	signals.IgnoreClosedOutput()
 	s, err := readNodeSettings(file)
 	if err != nil {
 		return err
--- a/commands/process.go
+++ b/commands/process.go
@@ -28,6 +28,7 @@
 
 // startProcess sets up signals, telemetry, TLS and the internal listener.
 func startProcess(signals *sigs.Signals, s *Settings, role string) (*process, error) {
+	signals.IgnoreClosedOutput()
 	t, err := telem.Start(s.telemetry(), role)
 	if err != nil {
 		return nil, err
--- a/io/sigs/signals.go
+++ b/io/sigs/signals.go
@@ -44,3 +44,7 @@
 		}
 	}()
 }
+
+// IgnoreClosedOutput lets the process run on if the reader of its standard output or standard
+// error is gone. Without it, the next write ends the process with SIGPIPE.
+func (s *Signals) IgnoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
