Hand over the vote of a control host that stops

Cause: the host that left stayed a voter until 3 s after its end, counted anew after each election, and only then was its successor promoted. Evidence: the successor's log has "joined the group" with voter false, its log matched at once. Ruled out: a lagging learner, the join of the empty disk.

Change: a host that is told to stop asks the leader to hand its vote over and stops afterwards. raft.AdjustVoters promotes a caught-up learner first and demotes the leaving voter then, and has a leader that leaves transfer its leadership. Each step keeps a quorum that responds. TestOneHistory has hosts that leave, transfers and adjusted voters among its actions.

--- a/commands/control.go
+++ b/commands/control.go
@@ -90,6 +90,7 @@
 // controlRole is a running control host with its HTTP admin API.
 type controlRole struct {
 	host   *ctrl.Host
+	client *ctrl.Client
 	server *wire.Server
 	http   *http.Server
 	cancel context.CancelFunc
@@ -98,6 +99,7 @@
 // Close implements stopper. A control host has no requests that could be aborted.
 func (c *controlRole) Close(ctx context.Context) (int, error) {
 	c.cancel()
+	c.host.Leave(ctx, c.client)
 	err := c.http.Shutdown(ctx)
 	hostErr := c.host.Close()
 	return 0, trace.NewAggregate(err, hostErr, c.server.Close(ctx))
@@ -125,7 +127,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", ctrl.AdminHandler(client))
 	mux.Handle("GET /metrics", p.Metrics())
-	role := &controlRole{host: h, server: p.server, http: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
+	role := &controlRole{host: h, client: client, server: p.server, http: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
 	joinCtx, cancel := context.WithCancel(ctx)
 	role.cancel = cancel
 	go func() { _ = role.http.Serve(ln) }()
--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -23,16 +23,23 @@
 	if mem.Voter {
 		return m.membersIndex, nil
 	}
-	if m.role == Leader {
-		p := m.progress(id, now)
-		if p.matchIndex < m.commitIndex || now.Sub(p.lastContact) >= m.electionTimeout {
-			return 0, &BehindError{Member: id, Match: p.matchIndex, Commit: m.commitIndex}
-		}
+	if m.role == Leader && !m.caughtUp(now, id) {
+		return 0, &BehindError{Member: id, Match: m.progress(id, now).matchIndex, Commit: m.commitIndex}
 	}
 	mem.Voter = true
 	return m.change(now, m.members.With(mem))
 }
 
+// Demote makes a voter a learner. It keeps receiving the log.
+func (m *Machine) Demote(now time.Time, id MemberID) (uint64, error) {
+	mem, ok := m.members.Find(id)
+	if !ok || !mem.Voter {
+		return m.membersIndex, nil
+	}
+	mem.Voter = false
+	return m.change(now, m.members.With(mem))
+}
+
 // Remove removes a member from the group.
 func (m *Machine) Remove(now time.Time, id MemberID) (uint64, error) {
 	if _, ok := m.members.Find(id); !ok {
@@ -44,10 +51,10 @@
 // change appends a membership that differs from the present one in one member. The
 // present membership must be committed, and so must an entry of the current term.
 func (m *Machine) change(now time.Time, next Membership) (uint64, error) {
-	if m.role != Leader {
+	if m.role != Leader || m.transferring(now) {
 		return 0, &NotLeaderError{Leader: m.leader}
 	}
-	if m.membersIndex > m.commitIndex || m.commitIndex < m.termStart {
+	if m.changePending() {
 		return 0, &ChangePendingError{Index: max(m.membersIndex, m.termStart)}
 	}
 	if next.Voters() == 0 {
@@ -58,6 +65,17 @@
 	return index, nil
 }
 
+// changePending reports whether the present membership, or the first entry of the leader's term,
+// is not committed yet.
+func (m *Machine) changePending() bool {
+	return m.membersIndex > m.commitIndex || m.commitIndex < m.termStart
+}
+
+// Handed reports whether a member has no vote and the membership that says so is committed.
+func (m *Machine) Handed(id MemberID) bool {
+	return m.role == Leader && !m.changePending() && !m.members.IsVoter(id)
+}
+
 // VoterCaughtUp reports whether a voter has every committed entry on its disk, so that
 // any one other member may be lost.
 func (m *Machine) VoterCaughtUp(id MemberID) bool {
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -11,7 +11,9 @@
 
 // campaign requests votes from the other voters. A PreCandidate requests pre-votes, which
 // do not increase the term; with a quorum of them it becomes a Candidate.
-func (m *Machine) campaign(now time.Time, role Role) {
+func (m *Machine) campaign(now time.Time, role Role) { m.requestVotes(now, role, false) }
+
+func (m *Machine) requestVotes(now time.Time, role Role, transfer bool) {
 	m.role = role
 	m.leader = 0
 	m.resetTimeout(now)
@@ -24,7 +26,7 @@
 	}
 	for _, mem := range m.members.Members {
 		if mem.Voter && mem.ID != m.self {
-			m.send(Message{Kind: kind, To: mem.ID, Term: term, Index: m.log.last(), LogTerm: m.log.lastTerm()})
+			m.send(Message{Kind: kind, To: mem.ID, Term: term, Index: m.log.last(), LogTerm: m.log.lastTerm(), Transfer: transfer})
 		}
 	}
 	m.countVotes(now)
@@ -90,6 +92,7 @@
 	m.role = Leader
 	m.leader = m.self
 	m.peers = map[MemberID]*progress{}
+	m.transferTo = 0
 	m.timeout = now.Add(m.electionTimeout / heartbeatsPerElection)
 	m.termStart = m.log.last() + 1
 	m.append(Entry{Kind: EntryNoop})
--- a/core/raft/group_test.go
+++ b/core/raft/group_test.go
@@ -38,13 +38,16 @@
 	reads       map[uint64]uint64        // read id -> least index at which it may be served
 	acked       uint64                   // highest index applied by any host
 	serial      uint64
-	fail        func(format string, args ...any)
+	// leaving holds the members whose votes are to be handed over.
+	leaving map[raft.MemberID]bool
+	size    int // the intended number of voters
+	fail    func(format string, args ...any)
 }
 
 func newGroup(n int, fail func(string, ...any)) *group {
 	g := &group{
 		now: time.Unix(1_000_000, 0), partitioned: map[[2]raft.MemberID]bool{}, history: map[uint64][]byte{},
-		leaders: map[uint64]raft.MemberID{}, reads: map[uint64]uint64{}, fail: fail,
+		leaders: map[uint64]raft.MemberID{}, reads: map[uint64]uint64{}, leaving: map[raft.MemberID]bool{}, size: max(n, 3), fail: fail,
 	}
 	var ms raft.Membership
 	for i := range n {
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -104,6 +104,9 @@
 	termStart   uint64
 	readSeq     uint64
 	reads       []pendingRead
+	// transferTo is the member that the leadership is handed over to, or 0, until transferUntil.
+	transferTo    MemberID
+	transferUntil time.Time
 
 	out Output
 }
@@ -283,7 +286,7 @@
 		return
 	}
 	if msg.Term > m.state.Term && msg.Kind != KindPreVote && msg.Kind != KindPreVoteReply {
-		if msg.Kind == KindVote && m.leaderAlive(now) {
+		if msg.Kind == KindVote && m.leaderAlive(now) && !msg.Transfer {
 			return
 		}
 		m.becomeFollower(now, msg.Term, 0)
@@ -299,6 +302,8 @@
 		m.onAppendReply(now, msg)
 	case KindSnapshot:
 		m.onSnapshot(now, msg)
+	case KindCampaign:
+		m.onCampaign(now, msg)
 	}
 }
 
--- a/core/raft/message.go
+++ b/core/raft/message.go
@@ -51,6 +51,8 @@
 	KindAppend
 	KindAppendReply
 	KindSnapshot
+	// KindCampaign is the leader's request to campaign, since it hands its leadership over.
+	KindCampaign
 )
 
 // Message is a request or reply between members. Which fields are set depends on Kind.
@@ -74,6 +76,9 @@
 	Match    uint64    `cbor:"11,keyasint"`
 	Hint     uint64    `cbor:"12,keyasint"`
 	Snapshot *Snapshot `cbor:"13,keyasint,omitempty"`
+	// Transfer is set in a vote request that the leader has asked for, so that it counts although
+	// the leader is alive.
+	Transfer bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Read is the result of Machine.Read. If OK is set, the member still led after the request,
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -1,6 +1,7 @@
 package raft_test
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -84,6 +85,17 @@
 					g.atLeader(func(m *raft.Machine) { _, _ = m.Promote(g.now, h.id) })
 				}
 			},
+			"leave":  func(*rapid.T) { h := host(); g.leaving[h.id] = !g.leaving[h.id] },
+			"adjust": func(t *rapid.T) { g.adjust(rapid.IntRange(1, 8).Draw(t, "rounds")) },
+			"transfer": func(*rapid.T) {
+				g.atLeader(func(m *raft.Machine) { _ = m.Transfer(g.now, host().id) })
+			},
+			"replace": func(*rapid.T) {
+				// A host leaves for good once its vote is handed over, and another disk may be lost.
+				if h := host(); h.up && !h.lost && len(g.hosts) < 9 {
+					g.handOver(h)
+				}
+			},
 			"remove lost host": func(*rapid.T) {
 				if h := host(); h.lost {
 					g.atLeader(func(m *raft.Machine) { _, _ = m.Remove(g.now, h.id) })
@@ -156,6 +168,29 @@
 	clear(g.partitioned)
 }
 
+// adjust has the leader adjust the voters for a number of rounds.
+func (g *group) adjust(rounds int) {
+	rules := raft.VoterRules{Size: g.size, Leaving: maps.Clone(g.leaving), ReplaceAfter: 600 * time.Millisecond}
+	for _, h := range g.hosts {
+		if h.lost {
+			rules.Leaving[h.id] = true
+		}
+	}
+	for range rounds {
+		g.atLeader(func(m *raft.Machine) { m.AdjustVoters(g.now, rules) })
+		g.settle(1)
+	}
+}
+
+// handOver has a host leave the group for good once it has no vote.
+func (g *group) handOver(h *host) {
+	g.leaving[h.id] = true
+	g.adjust(10)
+	if l := g.leader(); l != nil && l.machine.Handed(h.id) {
+		g.loseDisk(h)
+	}
+}
+
 func (g *group) atLeader(f func(m *raft.Machine)) {
 	if l := g.leader(); l != nil {
 		g.step(l, f)
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -21,7 +21,7 @@
 
 // Propose appends a command to the leader's log and returns its index and term.
 func (m *Machine) Propose(now time.Time, data []byte) (index, term uint64, err error) {
-	if m.role != Leader {
+	if m.role != Leader || m.transferring(now) {
 		return 0, 0, &NotLeaderError{Leader: m.leader}
 	}
 	index = m.append(Entry{Kind: EntryCommand, Data: data})
@@ -164,6 +164,7 @@
 	m.confirmReads()
 	if m.role == Leader {
 		m.replicate(now, msg.From, false)
+		m.continueTransfer(now)
 	}
 }
 
--- a/io/ctrl/leader.go
+++ b/io/ctrl/leader.go
@@ -10,8 +10,6 @@
 	"dotterelgap/core/raft"
 	"dotterelgap/core/state"
 	"dotterelgap/io/wire"
-
-	"go.uber.org/zap"
 )
 
 // leaderState is the state that a leader keeps in memory only: which processes are
@@ -32,6 +30,8 @@
 	// latest attempt to end each unresponsive holder.
 	since       time.Time
 	endAttempts map[fleet.NodeID]time.Time
+	// leaving holds the time of the latest request of each member that is about to stop.
+	leaving map[raft.MemberID]time.Time
 }
 
 // proposalTimeout is the time after which a proposal without effect is repeated.
@@ -53,6 +53,7 @@
 	ls.roster = nil
 	ls.since = now
 	ls.endAttempts = map[fleet.NodeID]time.Time{}
+	ls.leaving = map[raft.MemberID]time.Time{}
 }
 
 func (ls *leaderState) report(r escrow.Report) {
@@ -159,10 +160,10 @@
 	h.leader.presence.Expire(now)
 	h.settleSuspected(now)
 	h.advanceSettling(now)
-	h.promoteLearner(now)
+	h.adjustVoters(now)
 	h.endUnresponsiveHolders(now)
 	if h.deps.Replace {
-		h.removeUnresponsive(now)
+		h.removeSilentLearners(now)
 	}
 }
 
@@ -207,42 +208,3 @@
 	h.leader.proposed[id] = now
 	return true
 }
-
-// promoteLearner makes a learner that has caught up a voter if the group has too few
-// voters.
-func (h *Host) promoteLearner(now time.Time) {
-	ms := h.machine.Status().Members
-	if ms.Voters() >= h.deps.Size {
-		return
-	}
-	for _, m := range ms.Members {
-		if m.Voter {
-			continue
-		}
-		if _, err := h.machine.Promote(now, m.ID); err == nil {
-			return
-		}
-	}
-}
-
-// Times without a reply after which the leader removes a member on its own.
-const (
-	voterTimeout   = 3 * time.Second
-	learnerTimeout = 30 * time.Second
-)
-
-// removeUnresponsive removes a voter that does not respond once a learner is ready to
-// replace it, and learners that do not respond.
-func (h *Host) removeUnresponsive(now time.Time) {
-	status := h.machine.Status()
-	ready := h.learnerReady(now, status)
-	for _, m := range status.Members.Members {
-		sinceReply := h.machine.SinceLastReply(now, m.ID)
-		if (m.Voter && ready && sinceReply > voterTimeout) || (!m.Voter && sinceReply > learnerTimeout) {
-			_, err := h.machine.Remove(now, m.ID)
-			h.log.Info("control: removing an unresponsive member", zap.Stringer("addr", m.Addr),
-				zap.Bool("voter", m.Voter), zap.Duration("silence", sinceReply), zap.Error(err))
-			return
-		}
-	}
-}
--- a/io/ctrl/report.go
+++ b/io/ctrl/report.go
@@ -160,16 +160,17 @@
 	return reply, nil
 }
 
-// advanceReplacement removes the lost voter only once a learner has caught up, and
-// reports completion only once every voter has all committed entries.
+// advanceReplacement has a learner that has caught up take the lost member's vote, removes that
+// member, and reports completion only once every voter has all committed entries.
 func (h *Host) advanceReplacement(now time.Time, lost raft.MemberID) admin.ReplaceReply {
 	status := h.machine.Status()
 	if lost == status.Self {
 		return admin.ReplaceReply{Message: "the leader can't be replaced as a lost host"}
 	}
-	if _, member := status.Members.Find(lost); member {
-		if !h.learnerReady(now, status) {
-			return admin.ReplaceReply{Message: "waiting for a new host to join and catch up"}
+	if m, member := status.Members.Find(lost); member {
+		if m.Voter {
+			h.leader.leaving[lost] = now
+			return admin.ReplaceReply{Message: "waiting for a new host to join, catch up and take over the vote"}
 		}
 		if _, err := h.machine.Remove(now, lost); err != nil {
 			return admin.ReplaceReply{Message: err.Error()}
@@ -190,16 +191,6 @@
 	return admin.ReplaceReply{Complete: true, Message: "the group could lose any other host now"}
 }
 
-// learnerReady reports whether a responding learner has all committed entries.
-func (h *Host) learnerReady(now time.Time, s raft.Status) bool {
-	for _, m := range s.Members.Members {
-		if !m.Voter && s.Match[m.ID] >= s.Commit && h.machine.SinceLastReply(now, m.ID) < raft.DefaultElectionTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // sendOrder commits a number for an order and sends the order to the agent.
 func (h *Host) sendOrder(r admin.OrderRequest) (any, error) {
 	n, ok := h.findNode(r.Agent)
--- a/io/ctrl/service.go
+++ b/io/ctrl/service.go
@@ -231,7 +231,8 @@
 }
 
 // Join adds a control host as a learner. An earlier member at the same address has lost
-// its folder and is removed first.
+// its folder and is removed first. If it has a vote and a learner can take it, that is done
+// before.
 func (s *Service) Join(args *wire.JoinArgs, reply *wire.JoinReply) error {
 	h, err := s.running()
 	if err != nil {
@@ -256,6 +257,10 @@
 	}
 	for _, old := range members.Members {
 		if old.Addr == m.Addr && old.ID != m.ID {
+			h.leader.leaving[old.ID] = now
+			if old.Voter && h.machine.LearnerReady(now, h.leader.leavingMembers(now)) {
+				return // the host asks again
+			}
 			_, err := h.machine.Remove(now, old.ID)
 			h.log.Info("control: removing the earlier member of a host that lost its data folder", zap.Stringer("addr", m.Addr), zap.Error(err))
 			return
--- a/io/node/host.go
+++ b/io/node/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"dotterelgap/core/fleet"
@@ -26,6 +27,8 @@
 type hostRunner struct {
 	n       *Node
 	service *ctrl.Service
+	// running is the host, or nil while there is none.
+	running atomic.Pointer[ctrl.Host]
 }
 
 func newHostRunner(n *Node) *hostRunner {
@@ -69,7 +72,9 @@
 		return err
 	}
 	r.service.Set(h)
+	r.running.Store(h)
 	defer func() {
+		r.running.Store(nil)
 		r.service.Set(nil)
 		_ = h.Close()
 	}()
@@ -91,6 +96,13 @@
 	}
 }
 
+// leave hands over what the control host, if one runs, has in the group.
+func (r *hostRunner) leave(ctx context.Context) {
+	if h := r.running.Load(); h != nil {
+		h.Leave(ctx, r.n.client)
+	}
+}
+
 // runKeeper opens the folder's keeper. The returned function closes it.
 func (r *hostRunner) runKeeper(f ctrl.Folder, h *ctrl.Host) func() {
 	k, err := openKeeper(r.n.log, disk.OS(), r.n.deps.DataDir, f.Identity.Member, h.HolderEnded)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -264,8 +264,8 @@
 // budgets. Tokens that are not given back are billed.
 const budgetReturnTime = 700 * time.Millisecond
 
-// Close marks the node as draining, finishes the requests in progress until
-// budgetReturnTime before ctx ends, gives the budgets back and stops the node. It returns 1
+// Close marks the node as draining, hands over the control host's vote, finishes the requests in
+// progress until budgetReturnTime before ctx ends, gives the budgets back and stops the node. It returns 1
 // and an error if it aborted requests, else 0.
 func (n *Node) Close(ctx context.Context) (int, error) {
 	n.mesh.Update(true, func(p *fleet.Peer) { p.Draining = true })
@@ -274,7 +274,10 @@
 		serve, cancel = context.WithDeadline(ctx, end.Add(-budgetReturnTime))
 	}
 	defer cancel()
+	var leaving sync.WaitGroup
+	leaving.Go(func() { n.host.leave(serve) })
 	err := n.front.Close(serve)
+	leaving.Wait()
 	n.budgets.leave(ctx)
 	n.mesh.Update(true, func(p *fleet.Peer) { p.Left = true })
 	for _, s := range n.servers {
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -121,6 +121,21 @@
 	Voter  bool
 }
 
+// LeaveArgs says that a member of the control group is about to stop. It is repeated until the
+// reply says that nothing is left to do.
+type LeaveArgs struct {
+	Member raft.MemberID
+}
+
+// LeaveReply reports whether the member may stop without a loss to the group.
+type LeaveReply struct {
+	Hint
+	// Handed is set once the member has no vote.
+	Handed bool
+	// NoSuccessor is set if no other member can take over the vote.
+	NoSuccessor bool
+}
+
 // PublishReply is the reply to a publish. Number is the number of the policy in force.
 type PublishReply struct {
 	Hint
