Log that the control group has no leader, or can have none any more

A control host now logs each 10 s without a leader which voters it needs, and an error once hosts with empty folders run at the addresses of a majority of the voters.

--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -86,6 +86,7 @@
 	leaderWorkAt time.Time
 	failed       bool
 	clock        *clock
+	leaderless   *leaderless
 	// sinceSnapshot is the size of the entries applied since the latest snapshot, and
 	// snapshotBytes the size of that snapshot.
 	sinceSnapshot, snapshotBytes int
@@ -117,6 +118,7 @@
 		leader:       newLeaderState(fleet.NewPresence(suspectAfter)),
 		metrics:      newMetrics(),
 		clock:        newClock(deps.Saved.Written),
+		leaderless:   newLeaderless(time.Now()),
 		applyPending: make(chan struct{}, 1),
 	}
 	if h.deps.OnPolicy == nil {
@@ -168,6 +170,7 @@
 		now := time.Now()
 		h.machine.Tick(now)
 		h.runLeaderTasks(now)
+		h.watchLeader(now)
 		h.processOutput(now)
 	}
 }
--- a/io/ctrl/service.go
+++ b/io/ctrl/service.go
@@ -239,6 +239,7 @@
 		return err
 	}
 	ok := h.onLoop(func(now time.Time) {
+		h.noteJoin(args.Member)
 		if reply.Hint = h.hint(); !reply.NotLeader {
 			h.join(now, args.Member, reply)
 		}
--- a/io/telem/counter.go
+++ b/io/telem/counter.go
@@ -39,3 +39,12 @@
 		otel.Handle(err)
 	}
 }
+
+// Level returns a gauge that its owner sets, in a unit such as "s".
+func Level(part, name, unit, help string) metric.Float64Gauge {
+	g, err := otel.Meter("dotterelgap/"+part).Float64Gauge(name, metric.WithDescription(help), metric.WithUnit(unit))
+	if err != nil {
+		otel.Handle(err)
+	}
+	return g
+}
