Return the tokens of a removed node whose witnesses have restarted

Cause: such a holder was ended only on the reports of two of its three witnesses, which keep them in memory, and the leader first asks 6 s after the last statement. Evidence: no line "an unresponsive holder of budgets is ended" for that node. Ruled out: ending by time, as a node that is cut off may spend its grant; billing the grant, which returns nothing; the bound of the keepers, as a live holder may wait until it needs none.

Change: a node that shuts down reports in its last statement what it has recorded as a witness. Where witnesses were killed, so many of them refuse the holder's raises that it can record none; the ages of the new processes bound when it last could, and it is billed what was open by then. A holder that may still record raises keeps its tokens.

--- a/core/quota/faults_test.go
+++ b/core/quota/faults_test.go
@@ -69,6 +69,27 @@
 	return used
 }
 
+// stepLeave shuts a node down as planned: it ends its requests, gives its tokens back, and reports
+// what it has recorded for others. The report may be lost.
+func (sim *simulation) stepLeave(t *rapid.T) {
+	h := sim.pick(t, "host")
+	if !h.alive {
+		return
+	}
+	for _, r := range h.running {
+		h.holder.Settle(sim.now, r.id, 0)
+	}
+	h.running = nil
+	h.holder.Leave()
+	s := h.holder.Statement(sim.now)
+	s.Testimony = h.witness.Close()
+	holder := h.holder
+	if !h.partitioned && rapid.IntRange(0, 3).Draw(t, "arrives") > 0 {
+		sim.apply(h, holder, s)
+	}
+	sim.kill(h)
+}
+
 func (sim *simulation) stepStart(t *rapid.T) {
 	if h := sim.pick(t, "host"); !h.alive {
 		sim.start(h)
--- a/core/quota/leader_test.go
+++ b/core/quota/leader_test.go
@@ -97,21 +97,33 @@
 func (sim *simulation) stepEndUnresponsive(t *rapid.T) {
 	for _, id := range slices.Sorted(maps.Keys(sim.ledger.Holders)) {
 		state := *sim.ledger.Holders[id]
+		state.Testified = maps.Clone(state.Testified)
 		if state.Ended || sim.now.Sub(state.Last.At) < sim.opts.CutOff {
 			continue
 		}
-		peeked, assessment := state.Assess(sim.witnessReports(state, id, true))
-		if assessment != quota.Settled || (len(peeked) > 0 && rapid.Bool().Draw(t, "still active")) {
+		peeked := sim.witnessReports(state, id, true)
+		if _, bounded := sim.boundSilent(t, state, peeked); !bounded || (len(state.Raised(peeked)) > 0 && rapid.Bool().Draw(t, "still active")) {
 			continue
 		}
-		raised, assessment := state.Assess(sim.witnessReports(state, id, false))
-		if assessment == quota.Settled {
-			e := quota.Evidence{Witnessed: true, Raised: raised}
+		if e, bounded := sim.boundSilent(t, state, sim.witnessReports(state, id, false)); bounded {
 			sim.send(func() { sim.ledger.End(quota.Ending{Holder: id, Seq: state.Seq, Evidence: e}) })
 		}
 	}
 }
 
+// boundSilent returns the evidence on a silent holder, as a leader does.
+func (sim *simulation) boundSilent(t *rapid.T, state quota.HolderState, reports []quota.WitnessReport) (quota.Evidence, bool) {
+	raised, assessment := state.Assess(reports)
+	if assessment == quota.Settled {
+		return quota.Evidence{Witnessed: true, Raised: raised}, true
+	}
+	since, raised, fenced := state.Fenced(reports)
+	if !fenced || state.Acknowledged.At.IsZero() || (assessment == quota.Pending && rapid.Bool().Draw(t, "waits")) {
+		return quota.Evidence{}, false
+	}
+	return sim.opts.ByFence(sim.now.Sub(state.Acknowledged.At)-since, raised), true
+}
+
 // witnessReports asks the witnesses that the control group can reach.
 func (sim *simulation) witnessReports(state quota.HolderState, id fleet.NodeID, peek bool) []quota.WitnessReport {
 	var reports []quota.WitnessReport
@@ -121,7 +133,9 @@
 			if peek {
 				ask = o.witness.Peek
 			}
-			reports = append(reports, ask(witnessOf(state, o, sim), id))
+			r := ask(witnessOf(state, o, sim), id)
+			r.Age = sim.now.Sub(o.startedAt)
+			reports = append(reports, r)
 		}
 	}
 	return reports
@@ -133,7 +147,7 @@
 }
 
 func witnessOf(state quota.HolderState, o *host, sim *simulation) fleet.NodeID {
-	for _, id := range state.Witnesses {
+	for _, id := range state.Unheard() {
 		if l, ok := sim.ledger.Holders[id]; ok && l.Addr == o.addr {
 			return id
 		}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -58,6 +58,8 @@
 	// Demand is an ended holder's demand of each customer, in tokens per second. The next
 	// holder at its address takes it over until it has a reply.
 	Demand map[string]float64 `cbor:"9,keyasint,omitempty"`
+	// Testified holds the reports of those of Witnesses that have shut down.
+	Testified map[fleet.NodeID]WitnessReport `cbor:"10,keyasint,omitempty"`
 }
 
 // Ledger is the replicated state of all budgets. Its fields are exported for
@@ -160,6 +162,7 @@
 			h.Acknowledged = h.Last
 		}
 		h.Seq, h.Last, h.Heard, h.Witnesses, h.Keepers = s.Seq, now, s.Heard, s.Witnesses, s.Keepers
+		maps.DeleteFunc(h.Testified, func(id fleet.NodeID, _ WitnessReport) bool { return !slices.Contains(s.Witnesses, id) })
 	}
 	out := make([]Allowance, 0, len(s.Uses))
 	for _, u := range s.Uses {
@@ -176,6 +179,7 @@
 		out = append(out, a)
 	}
 	if s.Left && fresh {
+		l.recordTestimony(s.Testimony)
 		l.end(s.Holder, Evidence{Witnessed: true})
 		return out, true
 	}
@@ -252,6 +256,19 @@
 	}
 }
 
+// recordTestimony records the report of a witness that shuts down for the holders that name it.
+func (l *Ledger) recordTestimony(t Testimony) {
+	for id, h := range l.Holders {
+		if h.Ended || !slices.Contains(h.Witnesses, t.Witness) {
+			continue
+		}
+		if h.Testified == nil {
+			h.Testified = map[fleet.NodeID]WitnessReport{}
+		}
+		h.Testified[t.Witness] = t.report(id)
+	}
+}
+
 // applyUsage applies a usage: first what is given back, then the limits.
 func (l *Ledger) applyUsage(id fleet.NodeID, u Usage) {
 	a, ok := l.Accounts[u.Customer]
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -44,6 +44,7 @@
 			"borrow2": sim.stepBorrow,
 			"kill":    sim.stepKill,
 			"killall": sim.stepKillAll,
+			"leave":   sim.stepLeave,
 			"wipe":    sim.stepReplaceDisk,
 			"start":   sim.stepStart,
 			"cut":     sim.stepPartition,
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -33,6 +33,9 @@
 	Witnesses []fleet.NodeID `cbor:"9,keyasint,omitempty"`
 	// Keepers are the witnesses with a disk. What half of them have recorded opens earlier.
 	Keepers []fleet.NodeID `cbor:"12,keyasint,omitempty"`
+	// Testimony is what the node has recorded as a witness. It is set with Left, when the node
+	// records nothing more.
+	Testimony Testimony `cbor:"14,keyasint"`
 }
 
 // Usage is a holder's report on one customer.
--- a/core/quota/witness.go
+++ b/core/quota/witness.go
@@ -16,6 +16,8 @@
 	self   fleet.NodeID
 	raised map[fleet.NodeID]*record
 	fenced map[fleet.NodeID]struct{}
+	// closed is set once nothing more is recorded.
+	closed bool
 }
 
 // record is the latest raise of one holder.
@@ -44,7 +46,7 @@
 // Raise records a holder's watermarks. It returns false if it refuses to, for example
 // because the holder is fenced.
 func (w *Witness) Raise(r Raise) bool {
-	if _, ok := w.fenced[r.Holder]; ok || r.Witness != w.self {
+	if _, ok := w.fenced[r.Holder]; ok || w.closed || r.Witness != w.self {
 		return false
 	}
 	known, ok := w.raised[r.Holder]
@@ -93,6 +95,9 @@
 	// Heard and Marks come from the holder's latest raise. Heard is 0 if there was none.
 	Heard uint64
 	Marks map[string]Tokens
+	// Age is how long the process that replied has run, by a clock that may be slow but not
+	// fast. If Valid is false, the witness that was named had ended by then.
+	Age time.Duration
 }
 
 // Fence refuses further raises of a holder and reports the earlier ones.
@@ -136,10 +141,49 @@
 // that size includes, for each raise that was used, a witness that recorded it.
 func settleQuorum(n int) int { return n - RaiseQuorum(n) + 1 }
 
-// Assess evaluates the reports of a holder's witnesses. raised holds the highest
-// watermarks that the holder may have used since its latest statement.
+// Assess evaluates the reports of a holder's witnesses, those that the ledger has not
+// got. raised holds the highest watermarks that the holder may have used since its latest
+// statement.
 func (h HolderState) Assess(reports []WitnessReport) (raised map[string]Tokens, a Assessment) {
-	return assess(reports, h.Heard, len(h.Witnesses))
+	return assess(h.withTestimony(reports), h.Heard, len(h.Witnesses))
+}
+
+// Raised returns the highest watermarks in the reports that the holder may have used since its
+// latest statement, also if reports are missing.
+func (h HolderState) Raised(reports []WitnessReport) map[string]Tokens {
+	raised := map[string]Tokens{}
+	for _, r := range h.withTestimony(reports) {
+		if r.Valid && r.Heard >= h.Heard {
+			mergeMarks(raised, r.Marks)
+		}
+	}
+	return raised
+}
+
+// Fenced reports whether the holder can record no further raise, although its witnesses' reports
+// do not show all earlier ones. Witnesses that have restarted refuse its raises, and those that
+// report must have been asked to refuse them. since is how long ago, at least, the last raise that
+// is missing from the reports was requested, and raised holds the highest watermarks in the
+// reports.
+func (h HolderState) Fenced(reports []WitnessReport) (since time.Duration, raised map[string]Tokens, fenced bool) {
+	n := len(h.Witnesses)
+	needed := RaiseQuorum(n)
+	silent := n - len(h.withTestimony(reports))
+	if n == 0 || silent >= needed {
+		return 0, nil, false
+	}
+	// A raise that no report shows was recorded by witnesses that have ended, or are silent.
+	unknown := make([]time.Duration, silent, n)
+	for _, r := range reports {
+		if !r.Valid {
+			unknown = append(unknown, max(r.Age, 0))
+		}
+	}
+	if len(unknown) < needed {
+		return 0, nil, false // the reports show all raises, see Assess
+	}
+	slices.Sort(unknown)
+	return unknown[needed-1], h.Raised(reports), true
 }
 
 // AssessKeepers evaluates the reports of a holder's keepers in the same way. Some of their
@@ -178,9 +222,9 @@
 	// watermarks that they recorded.
 	Witnessed bool              `cbor:"1,keyasint,omitempty"`
 	Raised    map[string]Tokens `cbor:"2,keyasint,omitempty"`
-	// Timed is set if it is known how long the holder can have run without a reply.
-	// Opening then holds the most that was open to a holder whose raises no keeper has
-	// recorded, and Kept the watermarks that keepers did record.
+	// Timed is set if it is known for how long the holder can have run without a reply, or can
+	// have requested raises. Opening then holds the most that was open to it by then if no
+	// record is known, and Kept the watermarks in the records that are known.
 	Timed   bool              `cbor:"3,keyasint,omitempty"`
 	Opening Opening           `cbor:"4,keyasint"`
 	Kept    map[string]Tokens `cbor:"5,keyasint,omitempty"`
@@ -195,6 +239,12 @@
 	return Evidence{Timed: true, Opening: o.Opening(elapsed - o.KeeperLead), Kept: kept}
 }
 
+// ByFence returns the evidence on a holder that was fenced when it had no reply for the elapsed
+// time. It may still spend what it had raised by then, so what keepers have recorded is no bound.
+func (o Options) ByFence(elapsed time.Duration, raised map[string]Tokens) Evidence {
+	return Evidence{Timed: true, Opening: o.Opening(elapsed), Kept: raised}
+}
+
 // bill returns the most that a holder can have spent of an allocation.
 func (e Evidence) bill(r *Allocation, customer string) Tokens {
 	most := r.Granted
--- a/io/ctrl/assess.go
+++ b/io/ctrl/assess.go
@@ -56,9 +56,10 @@
 type predecessor struct {
 	id    fleet.NodeID
 	state quota.HolderState
-	// now is this host's log time. It is on the same clock as the time of the
-	// holder's last acknowledged statement if sameLeader is set.
-	now time.Time
+	// now is this host's log time, and takenAt its boot time. now is on the same clock as the
+	// time of the holder's last acknowledged statement if sameLeader is set.
+	now     time.Time
+	takenAt time.Duration
 	// last is the latest timestamp of the leader that recorded that statement. It is
 	// valid if clear is set; otherwise the ledger no longer has one.
 	last       quota.Timestamp
@@ -78,15 +79,9 @@
 		if _, known := l.Holders[st.Holder]; known {
 			return
 		}
-		if p.id, ok = l.EarlierAt(st.Addr, st.Holder); !ok {
-			return
+		if id, earlier := l.EarlierAt(st.Addr, st.Holder); earlier {
+			p, ok = h.predecessor(id), true
 		}
-		p.state = *l.Holders[p.id]
-		p.last, p.clear = l.LastOf(p.state.Acknowledged)
-		p.now = h.logTime()
-		p.upToDate = h.machine.Current()
-		p.sameLeader = p.upToDate && p.state.Acknowledged.Term == h.machine.HardState().Term
-		p.witnesses, p.keepers = h.witnessesOf(p.state), h.keepersOf(p.state)
 	})
 	return p, ok
 }
--- a/io/ctrl/leader.go
+++ b/io/ctrl/leader.go
@@ -26,10 +26,10 @@
 	proposed  map[escrow.GrantID]time.Time
 	roster    *wire.Roster
 	rosterSeq uint64
-	// since is when this host became the leader. endAttempts holds the time of the
-	// latest attempt to end each unresponsive holder.
-	since       time.Time
-	endAttempts map[fleet.NodeID]time.Time
+	// since is when this host became the leader, and silent holds the holders of prepaid
+	// budgets that send no statements.
+	since  time.Time
+	silent map[fleet.NodeID]*silentHolder
 	// leaving holds the time of the latest request of each member that is about to stop.
 	leaving map[raft.MemberID]time.Time
 }
@@ -52,7 +52,7 @@
 	ls.proposed = map[escrow.GrantID]time.Time{}
 	ls.roster = nil
 	ls.since = now
-	ls.endAttempts = map[fleet.NodeID]time.Time{}
+	ls.silent = map[fleet.NodeID]*silentHolder{}
 	ls.leaving = map[raft.MemberID]time.Time{}
 }
 
@@ -161,7 +161,7 @@
 	h.settleSuspected(now)
 	h.advanceSettling(now)
 	h.adjustVoters(now)
-	h.endUnresponsiveHolders(now)
+	h.endSilentHolders(now)
 	if h.deps.Replace {
 		h.removeSilentLearners(now)
 	}
--- a/io/ctrl/quota.go
+++ b/io/ctrl/quota.go
@@ -11,58 +11,13 @@
 	"dotterelgap/core/raft"
 	"dotterelgap/core/state"
 	"dotterelgap/io/wire"
-
-	"go.uber.org/zap"
-)
-
-// Times of ending holders that don't respond.
-const (
-	// holderTimeout is longer than a partitioned holder can serve without a raise, so
-	// a holder that is alive and serves has recorded raises at its witnesses by then.
-	holderTimeout = 6 * time.Second
-	// endRetryInterval is the time between two attempts to end a holder.
-	endRetryInterval = 2 * time.Second
 )
 
-// endUnresponsiveHolders ends the holders that have sent no statement for
-// holderTimeout and have recorded no raise at their witnesses since. It must run on
-// the loop.
-func (h *Host) endUnresponsiveHolders(now time.Time) {
-	for id, holder := range h.state.Quota.Holders {
-		if holder.Ended || now.Sub(h.leader.since) < holderTimeout || now.Sub(h.leader.endAttempts[id]) < endRetryInterval {
-			continue
-		}
-		sameClock := holder.Last.Term == h.machine.HardState().Term
-		if sameClock && h.logTime().Sub(holder.Last.At) < holderTimeout {
-			continue
-		}
-		h.leader.endAttempts[id] = now
-		p := predecessor{id: id, state: *holder, witnesses: h.witnessesOf(*holder)}
-		h.wg.Go(func() { h.endHolder(p) })
-	}
-}
-
-// endHolder ends a holder if its witnesses report no raise. It asks twice: only the
-// second call fences the holder, so that a live one can go on with its raises.
-func (h *Host) endHolder(p predecessor) {
-	if raised, result := p.state.Assess(h.askWitnesses(p.witnesses, p.id, peek)); result != quota.Settled || len(raised) > 0 {
-		return
-	}
-	raised, result := p.state.Assess(h.askWitnesses(p.witnesses, p.id, fence))
-	if result != quota.Settled {
-		return
-	}
-	h.log.Info("control: an unresponsive holder of budgets is ended", zap.String("holder", string(p.id)),
-		zap.Stringer("addr", p.state.Addr), zap.Any("raised", raised))
-	h.commit(state.Command{EndHolder: &quota.Ending{
-		Holder: p.id, Seq: p.state.Seq, Evidence: quota.Evidence{Witnessed: true, Raised: raised},
-	}})
-}
-
-// witnessesOf returns the addresses of a holder's witnesses. It must run on the loop.
+// witnessesOf returns the addresses of the witnesses of a holder whose reports the ledger does not
+// have. It must run on the loop.
 func (h *Host) witnessesOf(holder quota.HolderState) map[fleet.NodeID]netip.AddrPort {
 	out := map[fleet.NodeID]netip.AddrPort{}
-	for _, w := range holder.Witnesses {
+	for _, w := range holder.Unheard() {
 		if s, ok := h.state.Quota.Holders[w]; ok {
 			out[w] = s.Addr
 		}
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -49,8 +49,9 @@
 
 	mu     sync.Mutex
 	holder *quota.Holder
-	// witness records the raises of other nodes' holders.
-	witness *quota.Witness
+	// witness records the raises of other nodes' holders, since startedAt.
+	witness   *quota.Witness
+	startedAt time.Time
 	// keeper is the witness on this node's disk, or nil.
 	keeper atomic.Pointer[keeper]
 	// recordedAt is when each witness last recorded a raise.
@@ -70,7 +71,7 @@
 	return &budgets{
 		n: n, state: make(chan struct{}, 1), raise: make(chan struct{}, 1), changed: make(chan struct{}),
 		recordedAt: map[fleet.NodeID]time.Time{},
-		holder:     quota.NewHolder(id, n.self, n.deps.Quota, time.Now()), witness: quota.NewWitness(id),
+		holder:     quota.NewHolder(id, n.self, n.deps.Quota, time.Now()), witness: quota.NewWitness(id), startedAt: time.Now(),
 	}
 }
 
@@ -246,11 +247,12 @@
 	}
 }
 
-// leave gives back all tokens, if the control group can be reached in time.
+// leave gives back all tokens and reports what was recorded for other holders, if the control group can be reached in time.
 func (b *budgets) leave(ctx context.Context) {
 	b.mu.Lock()
 	b.holder.Leave()
 	s := b.holder.Statement(time.Now())
+	s.Testimony = b.witness.Close()
 	b.mu.Unlock()
 	b.send(ctx, s)
 }
--- a/io/node/raise.go
+++ b/io/node/raise.go
@@ -192,8 +192,9 @@
 	defer b.mu.Unlock()
 	if args.Peek {
 		*reply = b.witness.Peek(args.Witness, args.Holder)
-		return nil
+	} else {
+		*reply = b.witness.Fence(args.Witness, args.Holder)
 	}
-	*reply = b.witness.Fence(args.Witness, args.Holder)
+	reply.Age = time.Since(b.startedAt)
 	return nil
 }
