End holders that had recorded a raise before they went silent

Callers would see: tokens granted to a node that is removed for good after a partition, or after a time without a leader, stay locked for ever.

Cause: the leader ends a silent holder only if its witnesses report no raise since its last statement, to spare one that is cut off and serves. A raise from before its end counted too.

TestHolderThatRaisedIsQuietAfterAWhile covers the machine.

--- a/core/quota/fenced_test.go
+++ b/core/quota/fenced_test.go
@@ -92,3 +92,15 @@
 	is.Equal(state.Unheard(), []nodeID{"w4"})
 	is.Equal(len(state.Testified), 1) // what is not named any more is dropped
 }
+
+// Guards against a holder that is never ended because it had raised once before it died.
+func TestHolderThatRaisedIsQuietAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	var s quota.Silence
+	now := time.Unix(1_700_000_000, 0)
+	marks := map[string]quota.Tokens{"acme": 700}
+	is.Equal(s.Observe(now, marks), time.Duration(0))
+	is.Equal(s.Observe(now.Add(4*time.Second), marks), 4*time.Second)
+	is.Equal(s.Observe(now.Add(6*time.Second), map[string]quota.Tokens{"acme": 701}), time.Duration(0)) // it is alive
+	is.Equal(s.Observe(now.Add(9*time.Second), map[string]quota.Tokens{"acme": 701}), 3*time.Second)
+}
--- a/io/ctrl/silent.go
+++ b/io/ctrl/silent.go
@@ -28,6 +28,7 @@
 	// since is when the leader noticed, and attemptedAt the time of the latest attempt to end
 	// the holder.
 	since, attemptedAt time.Time
+	raises             quota.Silence
 }
 
 // endSilentHolders ends the holders that have sent no statement for holderTimeout and have
@@ -80,13 +81,13 @@
 }
 
 // observe records the reports on a silent holder. It returns for how long the holder has been
-// silent, and whether it has recorded no raise.
+// silent, and whether it has recorded no raise or none for holderTimeout.
 func (h *Host) observe(p predecessor, reports []quota.WitnessReport) (silence time.Duration, quiet bool) {
 	raised := p.state.Raised(reports)
 	h.onLoop(func(now time.Time) {
 		if s, ok := h.leader.silent[p.id]; ok {
 			silence = holderTimeout + now.Sub(s.since)
-			quiet = len(raised) == 0
+			quiet = s.raises.Observe(now, raised) >= holderTimeout || len(raised) == 0
 		}
 	})
 	return silence, quiet
