--- a/core/quota/fenced_test.go
+++ b/core/quota/fenced_test.go
@@ -93,6 +93,18 @@
 	is.Equal(len(state.Testified), 1) // what is not named any more is dropped
 }
 
+// Only what the holders have not used counts as locked, of customers that have prepaid.
+func TestLocked(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000_000)
+	p.demand(is)
+	a := p.ledger.Accounts["acme"].Allocations["entry-1"]
+	is.Equal(p.ledger.Locked(func(nodeID) bool { return false }), nil)
+	is.Equal(p.ledger.Locked(func(id nodeID) bool { return id == "entry-1" }), []quota.Locked{{Customer: "acme", Tokens: a.Granted - a.Used}})
+	p.ledger.SetPrepaid(nil)
+	is.Equal(p.ledger.Locked(func(nodeID) bool { return true }), nil)
+}
+
 // Guards against a holder that is never ended because it had raised once before it died.
 func TestHolderThatRaisedIsQuietAfterAWhile(t *testing.T) {
 	is := is.New(t)
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -304,6 +304,7 @@
 	}
 	if h.lastRole == raft.Leader {
 		h.log.Info("control: lost the leadership")
+		h.metrics.locked.Record(context.Background(), 0)
 		h.failWaiters()
 	}
 	h.lastRole = role
--- a/io/ctrl/leader.go
+++ b/io/ctrl/leader.go
@@ -30,6 +30,8 @@
 	// budgets that send no statements.
 	since  time.Time
 	silent map[fleet.NodeID]*silentHolder
+	// lockedAt is when locked tokens were last reported.
+	lockedAt time.Time
 	// leaving holds the time of the latest request of each member that is about to stop.
 	leaving map[raft.MemberID]time.Time
 }
@@ -53,6 +55,7 @@
 	ls.roster = nil
 	ls.since = now
 	ls.silent = map[fleet.NodeID]*silentHolder{}
+	ls.lockedAt = now
 	ls.leaving = map[raft.MemberID]time.Time{}
 }
 
@@ -162,6 +165,7 @@
 	h.advanceSettling(now)
 	h.adjustVoters(now)
 	h.endSilentHolders(now)
+	h.reportLocked(now)
 	if h.deps.Replace {
 		h.removeSilentLearners(now)
 	}
--- a/io/ctrl/metrics.go
+++ b/io/ctrl/metrics.go
@@ -12,6 +12,7 @@
 	syncs      metric.Int64Counter
 	entries    metric.Int64Counter
 	heartbeats metric.Int64Counter
+	locked     metric.Int64Gauge
 }
 
 func newMetrics() *metrics {
@@ -19,6 +20,7 @@
 		syncs:      telem.Counter("control", "control_log_syncs", "Syncs of the log file."),
 		entries:    telem.Counter("control", "control_log_entries", "Entries written to the log file."),
 		heartbeats: telem.Counter("control", "control_beats", "Announcements that were answered."),
+		locked:     telem.Amount("control", "control_locked_tokens", "Tokens at holders that are not heard, at the leader."),
 	}
 }
 
--- a/io/telem/counter.go
+++ b/io/telem/counter.go
@@ -48,3 +48,12 @@
 	}
 	return g
 }
+
+// Amount returns a gauge of a whole number that its owner sets.
+func Amount(part, name, help string) metric.Int64Gauge {
+	g, err := otel.Meter("dotterelgap/"+part).Int64Gauge(name, metric.WithDescription(help))
+	if err != nil {
+		otel.Handle(err)
+	}
+	return g
+}
