Close idle connections to upstreams that are gone

Cause: idle connections were closed only when the next request to the same address found them too old, and to an engine that is gone there is none.

--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -19,6 +19,9 @@
 	IdleTimeout time.Duration
 	// MaxIdle limits the idle connections to one upstream.
 	MaxIdle int
+	// MaxOpen limits all connections. Idle ones are closed to stay within it; if there are none,
+	// no connection is opened.
+	MaxOpen int
 	// UserTimeout is how long sent bytes may stay unacknowledged before the
 	// connection fails (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
@@ -30,6 +33,7 @@
 		DialTimeout: 500 * time.Millisecond,
 		IdleTimeout: 10 * time.Second,
 		MaxIdle:     64,
+		MaxOpen:     openShare(),
 		UserTimeout: 3 * time.Second,
 	}
 }
@@ -41,6 +45,7 @@
 	mu       sync.Mutex
 	idle     map[netip.AddrPort][]*conn
 	open     map[netip.AddrPort]int
+	total    int // the sum of open
 	isClosed bool
 	dialed   uint64
 }
@@ -128,16 +133,13 @@
 		return nil, nil
 	}
 	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
 	if now.Sub(c.idleSince) < p.idleTimeout(c) {
+		p.setIdle(addr, list[:len(list)-1])
 		return c, nil
 	}
 	// The others have been idle for even longer.
-	for _, old := range list {
-		_ = old.Close()
-	}
-	p.open[addr] -= len(list)
-	delete(p.idle, addr)
+	p.drop(addr, list)
+	p.setIdle(addr, nil)
 	return nil, nil
 }
 
@@ -154,14 +156,17 @@
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
+	if err := p.reserve(addr); err != nil {
+		return nil, err
+	}
 	d := net.Dialer{KeepAlive: -1, Control: p.setUserTimeout}
 	raw, err := d.DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
+		p.closed(addr)
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open[addr]++
 	p.dialed++
 	return newConn(raw), nil
 }
@@ -186,8 +191,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isClosed || len(p.idle[addr]) >= p.opts.MaxIdle {
-		_ = c.Close()
-		p.open[addr]--
+		p.drop(addr, []*conn{c})
 		return
 	}
 	p.idle[addr] = append(p.idle[addr], c)
@@ -197,21 +201,7 @@
 func (p *Pool) closed(addr netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open[addr]--
-	if p.open[addr] <= 0 {
-		delete(p.open, addr)
-	}
-}
-
-// Forget closes the idle connections to an upstream that no longer exists.
-func (p *Pool) Forget(addr netip.AddrPort) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[addr] {
-		_ = c.Close()
-		p.open[addr]--
-	}
-	delete(p.idle, addr)
+	p.count(addr, -1)
 }
 
 // Open returns the number of connections to an upstream, including idle ones.
@@ -233,11 +223,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isClosed = true
-	for _, list := range p.idle {
-		for _, c := range list {
-			_ = c.Close()
-		}
+	for addr, list := range p.idle {
+		p.drop(addr, list)
 	}
-	p.idle = map[netip.AddrPort][]*conn{}
+	clear(p.idle)
 	return nil
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -180,10 +180,13 @@
 
 func (n *Node) refresh(ctx context.Context) {
 	var ups []fleet.Upstream
+	addrs := map[netip.AddrPort]bool{}
 	for _, u := range n.mesh.Upstreams() {
 		ups = append(ups, u.Upstream)
+		addrs[u.Addr] = true
 	}
 	n.front.SetUpstreams(ups)
+	n.conns.Sweep(time.Now(), func(addr netip.AddrPort) bool { return addrs[addr] })
 	n.front.ApplyQuarantines(n.mesh.Quarantines())
 	select {
 	case n.quarantined <- struct{}{}:
