Keep a foreign heartbeat from hiding the upstream at its address

Cause: of the upstreams at an address the one that started last is used, whatever its service. Change: a record with a service that is not in the policy in force hides none with one that is. Rejecting such heartbeats was ruled out, since the policy that names the service may come later.

--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -54,6 +54,8 @@
 	return s
 }
 
+func anyService(string) bool { return true }
+
 func addrOf(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
 }
@@ -187,7 +189,7 @@
 			t.Fatalf("host %d lists %d live nodes, want %d", i, alive, len(s.hosts))
 		}
 		seen := map[string]bool{}
-		for _, u := range h.machine.Upstreams() {
+		for _, u := range h.machine.Upstreams(anyService) {
 			seen[u.ID] = true
 			if s.upstreams[u.ID].ended {
 				t.Fatalf("host %d lists upstream %s, which has ended", i, u.ID)
@@ -252,7 +254,7 @@
 	is.Equal(len(m.Partners(s.now)), 3)
 	u.Seq, u.State = 1, fleet.UpstreamReady
 	m.RecordHeartbeat(s.now, u)
-	is.Equal(m.Upstreams()[0].State, fleet.UpstreamDraining)
+	is.Equal(m.Upstreams(anyService)[0].State, fleet.UpstreamDraining)
 }
 
 // Guards against an upstream that said in a response that it is leaving becoming ready again
@@ -269,12 +271,12 @@
 	is.Equal(len(m.Partners(s.now)), 3) // urgent
 	u.Seq = 2
 	m.RecordHeartbeat(s.now, u)
-	is.Equal(m.Upstreams()[0].State, fleet.UpstreamDraining)
+	is.Equal(m.Upstreams(anyService)[0].State, fleet.UpstreamDraining)
 	left := u
 	u.Born, u.Seq = u.Born.Add(time.Second), 1
 	m.RecordHeartbeat(s.now, u)
 	m.Drain(s.now, left)
-	is.Equal(m.Upstreams()[0].State, fleet.UpstreamReady)
+	is.Equal(m.Upstreams(anyService)[0].State, fleet.UpstreamReady)
 }
 
 // TestAddressReuse checks that an address in use by a new upstream is not returned to the
@@ -288,7 +290,7 @@
 	m.RecordHeartbeat(s.now, fleet.Upstream{ID: "new", Service: "b", Addr: addrOf(100), Born: s.now.Add(time.Second), Seq: 1})
 	old.Seq = 9
 	m.RecordHeartbeat(s.now, old)
-	ups := m.Upstreams()
+	ups := m.Upstreams(anyService)
 	is.Equal(len(ups), 1)
 	is.Equal(ups[0].ID, "new")
 }
@@ -310,3 +312,27 @@
 	is.Equal(len(req.Delta.Upstreams), 0)
 	is.True(len(req.Delta.Peers) <= 3)
 }
+
+// Guards against a heartbeat of another writer, with a service that is not in use and the address of
+// an upstream, that hides this upstream (review, case 5).
+func TestForeignServiceHidesNoUpstream(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1)
+	m := s.hosts[0].machine
+	at := netip.MustParseAddrPort("10.0.1.1:80")
+	used := fleet.Upstream{ID: "i-1", Service: "assistant", Addr: at, State: fleet.UpstreamReady, Seq: 1, Born: s.now}
+	foreign := fleet.Upstream{ID: "x-1", Service: "nowhere", Addr: at, State: fleet.UpstreamReady, Seq: 1, Born: s.now.Add(time.Minute)}
+	only := fleet.Upstream{ID: "x-2", Service: "later", Addr: netip.MustParseAddrPort("10.0.1.2:80"), State: fleet.UpstreamReady, Seq: 1, Born: s.now}
+	for _, u := range []fleet.Upstream{used, foreign, only} {
+		m.RecordHeartbeat(s.now, u)
+	}
+	ids := func(inUse func(string) bool) map[string]bool {
+		out := map[string]bool{}
+		for _, u := range m.Upstreams(inUse) {
+			out[u.ID] = true
+		}
+		return out
+	}
+	is.Equal(ids(func(s string) bool { return s == "assistant" }), map[string]bool{"i-1": true, "x-2": true})
+	is.Equal(ids(anyService), map[string]bool{"x-1": true, "x-2": true}) // one that started later
+}
--- a/core/gossip/traffic_test.go
+++ b/core/gossip/traffic_test.go
@@ -81,7 +81,7 @@
 	// docs/CAPACITY.md: a node spends at most 5 KB/s on control.
 	is.True(perSecond <= 5000)
 	for _, h := range s.hosts {
-		is.Equal(len(h.machine.Upstreams()), 185)
+		is.Equal(len(h.machine.Upstreams(anyService)), 185)
 		is.Equal(len(h.machine.Alive(s.now)), 45)
 	}
 }
@@ -102,7 +102,7 @@
 			s.round(h, noLoss)
 		}
 		if at > 10*time.Second {
-			is.Equal(len(s.hosts[2].machine.Upstreams()), 1)
+			is.Equal(len(s.hosts[2].machine.Upstreams(anyService)), 1)
 		}
 	}
 }
--- a/core/gossip/upstreams.go
+++ b/core/gossip/upstreams.go
@@ -70,6 +70,14 @@
 	return m.upstreams.Get(id)
 }
 
+// hides reports whether u is used in place of another upstream with its address.
+func hides(u, other fleet.Upstream, inUse func(service string) bool) bool {
+	if used := inUse(u.Service); used != inUse(other.Service) {
+		return used
+	}
+	return u.Born.After(other.Born)
+}
+
 // KnownUpstream is an upstream with the time at which its latest heartbeat reached this node,
 // directly or through a peer.
 type KnownUpstream struct {
@@ -78,12 +86,13 @@
 }
 
 // Upstreams returns the known upstreams, without those that are gone and those whose
-// address is in use by an upstream that started later.
-func (m *Machine) Upstreams() []KnownUpstream {
+// address is in use by an upstream that started later. A record with a service that is not in use
+// hides none with one that is, since it may come from another writer.
+func (m *Machine) Upstreams(inUse func(service string) bool) []KnownUpstream {
 	latest := map[netip.AddrPort]fleet.Upstream{}
 	all := m.upstreams.All()
 	for _, u := range all {
-		if old, ok := latest[u.Addr]; !ok || u.Born.After(old.Born) {
+		if old, ok := latest[u.Addr]; !ok || hides(u, old, inUse) {
 			latest[u.Addr] = u
 		}
 	}
--- a/io/mesh/doc.go
+++ b/io/mesh/doc.go
@@ -9,5 +9,5 @@
 //	})
 //	defer m.Close()
 //	m.RecordHeartbeat(upstream)
-//	ups := m.Upstreams()
+//	ups := m.Upstreams(inUse)
 package mesh
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -184,11 +184,11 @@
 }
 
 // Upstreams returns the known upstreams, without those that are gone or were replaced at
-// their address.
-func (m *Mesh) Upstreams() []gossip.KnownUpstream {
+// their address. inUse reports whether a service is in use.
+func (m *Mesh) Upstreams(inUse func(service string) bool) []gossip.KnownUpstream {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.machine.Upstreams()
+	return m.machine.Upstreams(inUse)
 }
 
 // Quarantine replicates a quarantine that this node began or lifted.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -178,10 +178,20 @@
 	}
 }
 
+// inUse reports whether a service is in the policy in force. Without a policy, all are.
+func (n *Node) inUse(service string) bool {
+	table := n.front.Policy()
+	if table == nil {
+		return true
+	}
+	_, ok := table.Service(service)
+	return ok
+}
+
 func (n *Node) refresh(ctx context.Context) {
 	var ups []fleet.Upstream
 	addrs := map[netip.AddrPort]bool{}
-	for _, u := range n.mesh.Upstreams() {
+	for _, u := range n.mesh.Upstreams(n.inUse) {
 		ups = append(ups, u.Upstream)
 		addrs[u.Addr] = true
 	}
