Keep nobody waiting for a control host that is closed

Cause: StayJoined and other tasks queued work for the loop after it had ended, and waited for their timeout of 3 s. Change: they return once the loop has ended.

--- a/io/ctrl/bench_test.go
+++ b/io/ctrl/bench_test.go
@@ -20,7 +20,14 @@
 )
 
 // startHost starts a control group of one host over real TCP and a real disk.
-func startHost(b *testing.B) (*ctrl.Client, *wire.Pool) {
+func startHost(b testing.TB) (*ctrl.Client, *wire.Pool) {
+	b.Helper()
+	_, client, pool := startClosable(b)
+	return client, pool
+}
+
+// startClosable also returns the host, which may be closed early.
+func startClosable(b testing.TB) (*ctrl.Host, *ctrl.Client, *wire.Pool) {
 	b.Helper()
 	dir := b.TempDir()
 	srv, err := wire.Listen(wire.Params{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Log: zap.NewNop()})
@@ -53,7 +60,7 @@
 		_ = h.Close()
 		_ = srv.Close(context.Background())
 	})
-	return ctrl.NewClient(pool, []netip.AddrPort{srv.Addr()}), pool
+	return h, ctrl.NewClient(pool, []netip.AddrPort{srv.Addr()}), pool
 }
 
 // BenchmarkHeartbeat measures a heartbeat of an entry, by the number of processes.
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -63,11 +63,13 @@
 
 // Host is a control host.
 type Host struct {
-	deps      Deps
-	log       *zap.Logger
-	queue     chan task
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
+	deps   Deps
+	log    *zap.Logger
+	queue  chan task
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// done is closed once the loop has ended.
+	done      chan struct{}
 	metrics   *metrics
 	assessing assessments
 
@@ -110,6 +112,7 @@
 		deps:         deps,
 		log:          deps.Log,
 		queue:        make(chan task, queueLength),
+		done:         make(chan struct{}),
 		state:        state.New(),
 		waiters:      map[uint64]waiter{},
 		reads:        map[uint64]chan bool{},
@@ -133,7 +136,10 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.wg.Go(func() { h.run(ctx) })
+	h.wg.Go(func() {
+		defer close(h.done)
+		h.run(ctx)
+	})
 	return h, nil
 }
 
@@ -338,11 +344,18 @@
 	}
 }
 
-// post queues a task, or returns an error once ctx ends.
+// post queues a task, or returns an error once ctx ends or the host is closed.
 func (h *Host) post(ctx context.Context, t task) error {
+	select {
+	case <-h.done:
+		return trace.Wrap(&StoppedError{})
+	default:
+	}
 	select {
 	case h.queue <- t:
 		return nil
+	case <-h.done:
+		return trace.Wrap(&StoppedError{})
 	case <-ctx.Done():
 		return trace.Wrap(ctx.Err())
 	}
--- a/io/ctrl/propose.go
+++ b/io/ctrl/propose.go
@@ -93,6 +93,8 @@
 	select {
 	case <-ctx.Done():
 		return state.Result{}, wire.Hint{NotLeader: true}
+	case <-h.done:
+		return state.Result{}, wire.Hint{NotLeader: true}
 	case hint := <-hints:
 		if hint.NotLeader {
 			return state.Result{}, hint
@@ -101,6 +103,8 @@
 	select {
 	case <-ctx.Done():
 		return state.Result{}, wire.Hint{NotLeader: true}
+	case <-h.done:
+		return state.Result{}, wire.Hint{NotLeader: true}
 	case o := <-done:
 		return o.res, wire.Hint{NotLeader: o.lost}
 	}
@@ -128,6 +132,8 @@
 	select {
 	case <-ctx.Done():
 		return wire.Hint{NotLeader: true}
+	case <-h.done:
+		return wire.Hint{NotLeader: true}
 	case hint := <-hints:
 		return hint
 	case ok := <-done:
@@ -136,7 +142,7 @@
 }
 
 // onLoop runs f on the loop and waits for it. It returns false if f has not finished
-// within requestTimeout.
+// within requestTimeout, or if the host is closed.
 func (h *Host) onLoop(f func(now time.Time)) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
@@ -151,6 +157,8 @@
 	select {
 	case <-ctx.Done():
 		return false
+	case <-h.done:
+		return false
 	case <-done:
 		return true
 	}
