Reject routes whose hosts differ only in the letter case

Cause: the check compared the hosts as written, while routing ignores the letter case. Change: both use the same key. The new case of TestCheck fails before.

--- a/core/policy/check.go
+++ b/core/policy/check.go
@@ -25,10 +25,10 @@
 	for _, s := range p.Services {
 		c.service(s)
 	}
-	seen := map[string]bool{}
+	seen := map[routeKey]bool{}
 	for _, r := range p.Routes {
 		c.route(r)
-		key := r.Host + "\x00" + r.Prefix
+		key := keyOf(r)
 		if seen[key] {
 			c.addProblem("route %q has the host and prefix of another route", r.Name)
 		}
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -31,6 +31,9 @@
 var mutations = map[string]func(*policy.Policy){
 	"unknown_service": func(p *policy.Policy) { p.Routes[1].Split[0].Service = "nowhere" },
 	"same_place":      func(p *policy.Policy) { p.Routes[1].Prefix = p.Routes[0].Prefix },
+	"same_host": func(p *policy.Policy) {
+		p.Routes[1].Host, p.Routes[1].Prefix = strings.ToUpper(p.Routes[0].Host), p.Routes[0].Prefix
+	},
 	"no_weight":       func(p *policy.Policy) { p.Routes[1].Split[0].Weight = 0 },
 	"negative_weight": func(p *policy.Policy) { p.Routes[0].Split[1].Weight = -1 },
 	"no_timeout":      func(p *policy.Policy) { p.Routes[0].Timeout = 0 },
--- a/core/policy/table.go
+++ b/core/policy/table.go
@@ -28,7 +28,7 @@
 	}
 	for i := range p.Routes {
 		r := &p.Routes[i]
-		t.routes[routeKey{strings.ToLower(r.Host), r.Prefix}] = r
+		t.routes[keyOf(*r)] = r
 	}
 	for i := range p.Services {
 		t.services[p.Services[i].Name] = &p.Services[i]
@@ -43,6 +43,9 @@
 	return t
 }
 
+// keyOf returns the key of a route. Hosts that differ only in the letter case are the same.
+func keyOf(r Route) routeKey { return routeKey{strings.ToLower(r.Host), r.Prefix} }
+
 // Route returns the route with the longest prefix of path. It ignores the port and
 // the letter case of host.
 func (t *Table) Route(host, path string) (*Route, bool) {
