Serve OPTIONS * as any other request

Callers got 200 without an id for "OPTIONS *" (seen in the review). Cause: Go's HTTP server answers it itself unless told not to. Change: the front gets it, and finds no route. TestOptionsOfTheServer fails before.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -93,11 +93,13 @@
 	f.guard = newGuard(f)
 	f.warned = newWarnings(f.log)
 	f.http = &http.Server{
-		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          zap.NewStdLog(deps.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		Handler: f,
+		// "OPTIONS *" is a request as any other.
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            headerTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               headerBytes,
+		ErrorLog:                     zap.NewStdLog(deps.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	f.wg.Go(func() { _ = f.http.Serve(deps.Listener) })
 	return f
