Bound the time that a peer which does not read blocks its callers

Cause: net/rpc writes a call before Pool.Call watches its context, and later calls wait for the write.

--- a/io/node/host.go
+++ b/io/node/host.go
@@ -154,6 +154,7 @@
 			return false, err
 		}
 	}
+	r.n.log.Error("node: no control group is formed: none of the seeds has a data folder")
 	return false, nil
 }
 
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -131,7 +131,9 @@
 		return &NotSentError{Addr: addr, Err: err}
 	}
 	c.noteCall()
+	written := p.watchWrite(ctx, addr, c)
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	written()
 	select {
 	case <-ctx.Done():
 		if c.unresponsive() {
@@ -151,6 +153,30 @@
 	return &UnknownOutcomeError{Addr: addr, Method: method, Err: call.Error}
 }
 
+// writePoll is the time between two checks of a connection to which a call is still written after
+// it has timed out.
+const writePoll = 50 * time.Millisecond
+
+// watchWrite closes a connection once a call to it has timed out and the peer does not respond,
+// until written is called. A peer that does not read would block the call, and all others that wait
+// to be written.
+func (p *Pool) watchWrite(ctx context.Context, addr netip.AddrPort, c *client) (written func()) {
+	var done atomic.Bool
+	stop := context.AfterFunc(ctx, func() {
+		for !done.Load() {
+			if c.unresponsive() {
+				p.drop(addr, c)
+				return
+			}
+			time.Sleep(writePoll)
+		}
+	})
+	return func() {
+		done.Store(true)
+		stop()
+	}
+}
+
 // client returns the connection to an address and opens it if necessary.
 func (p *Pool) client(ctx context.Context, addr netip.AddrPort) (*client, error) {
 	p.mu.Lock()
