--- a/io/conns/idle.go
+++ b/io/conns/idle.go
@@ -12,14 +12,20 @@
 // errFull is returned while the pool has as many connections as it may, all in use.
 var errFull = errors.New("too many connections to upstreams are in use")
 
-// openShare returns the limit of connections to upstreams: half of the descriptors of the process.
-// The others are for callers, other processes and files.
-func openShare() int {
+// reservedShare is the share of the descriptors of the process that is for other processes and
+// files.
+const reservedShare = 1.0 / 16
+
+// Shares returns how many connections the process may have to upstreams and how many to callers:
+// half of its descriptors each, less a reserve.
+func Shares() (upstreams, callers int) {
 	var l syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil || l.Cur/2 > math.MaxInt32 {
-		return math.MaxInt32
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil || l.Cur > math.MaxInt32 {
+		return math.MaxInt32, math.MaxInt32
 	}
-	return int(l.Cur / 2)
+	reserved := int(reservedShare * float64(l.Cur))
+	upstreams = int(l.Cur) / 2
+	return upstreams, int(l.Cur) - upstreams - reserved
 }
 
 // Sweep closes the connections that have been idle for too long, and all idle ones to addresses
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -29,11 +29,12 @@
 
 // DefaultOptions returns the options that nodes run with.
 func DefaultOptions() Options {
+	upstreams, _ := Shares()
 	return Options{
 		DialTimeout: 500 * time.Millisecond,
 		IdleTimeout: 10 * time.Second,
 		MaxIdle:     64,
-		MaxOpen:     openShare(),
+		MaxOpen:     upstreams,
 		UserTimeout: 3 * time.Second,
 	}
 }
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -77,6 +77,10 @@
 }
 
 func (c *call) serve() *responseError {
+	if isTooMany(c.r.Context()) {
+		c.w.Header().Set("Connection", "close")
+		return errTooManyCallers
+	}
 	if failure := c.identify(); failure != nil {
 		return failure
 	}
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -29,6 +29,7 @@
 	errBudgetExhausted = &responseError{status: http.StatusPaymentRequired, code: "budget_exhausted"}
 	errBudgetElsewhere = &responseError{status: http.StatusServiceUnavailable, code: "budget_elsewhere", retryAfter: 300 * time.Millisecond}
 	errNoUpstream      = &responseError{status: http.StatusServiceUnavailable, code: "no_upstream", retryAfter: 500 * time.Millisecond}
+	errTooManyCallers  = &responseError{status: http.StatusServiceUnavailable, code: "too_many_connections", retryAfter: 300 * time.Millisecond}
 	errQuarantined     = &responseError{status: http.StatusServiceUnavailable, code: "quarantined"}
 	errUpstreamLimited = &responseError{status: http.StatusServiceUnavailable, code: "upstream_limited", retryAfter: 300 * time.Millisecond}
 	errUpstreamPaused  = &responseError{status: http.StatusServiceUnavailable, code: "upstream_paused", retryAfter: 300 * time.Millisecond}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -60,6 +60,8 @@
 	// LeaveNotice is how long a front that shuts down keeps serving, so that the load
 	// balancer detects that it is not ready.
 	LeaveNotice time.Duration
+	// MaxCallers limits the connections of callers; 0 means no limit.
+	MaxCallers int
 }
 
 // Front serves callers and forwards their requests to upstreams.
@@ -92,10 +94,13 @@
 	}
 	f.guard = newGuard(f)
 	f.warned = newWarnings(f.log)
+	connections := newCallers(deps.MaxCallers)
 	f.http = &http.Server{
 		Handler: f,
 		// "OPTIONS *" is a request as any other.
 		DisableGeneralOptionsHandler: true,
+		ConnContext:                  connections.onConnect,
+		ConnState:                    connections.onState,
 		ReadHeaderTimeout:            headerTimeout,
 		IdleTimeout:                  idleTimeout,
 		MaxHeaderBytes:               headerBytes,
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -281,6 +281,12 @@
 const retryBurst = 10
 
 func startFront(t *testing.T, p front.Budgets, upstream http.HandlerFunc) (*front.Front, string) {
+	t.Helper()
+	return startFrontWith(t, p, upstream, 0)
+}
+
+// startFrontWith starts a front that accepts at most this many callers; 0 means no limit.
+func startFrontWith(t *testing.T, p front.Budgets, upstream http.HandlerFunc, maxCallers int) (*front.Front, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -290,7 +296,7 @@
 	f := front.Start(front.Deps{
 		Log: zap.NewNop(), Listener: ln, Dialect: dialect(), Budgets: p, Conns: pool, Sched: sched.DefaultOptions(),
 		Retry:       front.RetryOptions{Ratio: 0.2, Burst: retryBurst, Window: 10 * time.Second},
-		LeaveNotice: leaveNotice, Broadcast: func(sched.Update) {}, Report: func(poison.Report) {}, Leaving: func(fleet.Upstream) {}, Quarantine: func(fleet.Quarantine) {},
+		LeaveNotice: leaveNotice, MaxCallers: maxCallers, Broadcast: func(sched.Update) {}, Report: func(poison.Report) {}, Leaving: func(fleet.Upstream) {}, Quarantine: func(fleet.Quarantine) {},
 	})
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -275,5 +276,9 @@
 	slices.Sort(keepers)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holder.SetWitnesses(ids[:min(len(ids), maxWitnesses)], keepers)
+	ids = ids[:min(len(ids), maxWitnesses)]
+	b.holder.SetWitnesses(ids, keepers)
+	maps.DeleteFunc(b.recordedAt, func(id fleet.NodeID, _ time.Time) bool {
+		return !slices.Contains(ids, id) && !slices.Contains(keepers, id)
+	})
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -106,10 +106,11 @@
 		cancel()
 		return nil, err
 	}
+	_, maxCallers := conns.Shares()
 	n.front = front.Start(front.Deps{
 		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
 		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
-		LeaveNotice: deps.LeaveNotice,
+		LeaveNotice: deps.LeaveNotice, MaxCallers: maxCallers,
 		Broadcast:   func(u sched.Update) { n.updates.enqueue(u) },
 		Report:      func(r poison.Report) { n.updates.enqueue(r) },
 		Leaving:     func(u fleet.Upstream) { n.mesh.Drain(u) },
