--- a/io/node/node.go
+++ b/io/node/node.go
@@ -111,10 +111,10 @@
 		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
 		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
 		LeaveNotice: deps.LeaveNotice, MaxCallers: maxCallers,
-		Broadcast:   func(u sched.Update) { n.updates.enqueue(u) },
-		Report:      func(r poison.Report) { n.updates.enqueue(r) },
-		Leaving:     func(u fleet.Upstream) { n.mesh.Drain(u) },
-		Quarantine:  func(q fleet.Quarantine) { n.mesh.Quarantine(q) },
+		Broadcast:  func(u sched.Update) { n.updates.enqueue(u) },
+		Report:     func(r poison.Report) { n.updates.enqueue(r) },
+		Leaving:    func(u fleet.Upstream) { n.mesh.Drain(u) },
+		Quarantine: func(q fleet.Quarantine) { n.mesh.Quarantine(q) },
 	})
 	if err := n.startMesh(id); err != nil {
 		cancel()
