Give each concurrent part of a node its own source of random numbers

The gossip and the replicated log drew from one source at the same time, which is not safe: draws can repeat or be lost, of election timeouts, partners and new ids. Cause: the node passed its source on to both.

--- a/io/node/host.go
+++ b/io/node/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -27,12 +28,13 @@
 type hostRunner struct {
 	n       *Node
 	service *ctrl.Service
+	rand    *rand.Rand
 	// running is the host, or nil while there is none.
 	running atomic.Pointer[ctrl.Host]
 }
 
 func newHostRunner(n *Node) *hostRunner {
-	return &hostRunner{n: n, service: ctrl.NewService(nil)}
+	return &hostRunner{n: n, service: ctrl.NewService(nil), rand: splitRand(n.deps.Rand)}
 }
 
 func (r *hostRunner) register() error {
@@ -64,7 +66,7 @@
 	failed := make(chan error, 1)
 	h, err := ctrl.Start(ctrl.Deps{
 		Log: r.n.log, Store: f.Store, Identity: f.Identity, Saved: f.Saved, Pool: r.n.deps.Pool, Addr: r.n.self,
-		Size: r.n.deps.Size, Rand: r.n.deps.Rand, Quota: r.n.deps.Quota, Replace: true,
+		Size: r.n.deps.Size, Rand: r.rand, Quota: r.n.deps.Quota, Replace: true,
 		OnPolicy: r.n.offer,
 		Fatal:    func(err error) { failed <- err },
 	})
@@ -132,7 +134,7 @@
 			return f, err
 		}
 	}
-	f, err = ctrl.MakeFolder(disk.OS(), r.n.deps.DataDir, r.n.deps.Rand, r.n.self, found)
+	f, err = ctrl.MakeFolder(disk.OS(), r.n.deps.DataDir, r.rand, r.n.self, found)
 	r.n.log.Info("node: created a data folder", zap.Bool("founder", found), zap.Error(err))
 	return f, err
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -38,9 +38,10 @@
 
 // Deps holds the dependencies and settings of a Node.
 type Deps struct {
-	Log       *zap.Logger
-	Pool      *wire.Pool
-	Server    *wire.Server
+	Log    *zap.Logger
+	Pool   *wire.Pool
+	Server *wire.Server
+	// Rand is used by the node only. Its parts get sources of their own.
 	Rand      *rand.Rand
 	Place     fleet.Place
 	Interface Interface
@@ -141,13 +142,16 @@
 func (n *Node) startMesh(id fleet.NodeID) error {
 	var err error
 	n.mesh, err = mesh.Start(mesh.Deps{
-		Log: n.log, Pool: n.deps.Pool, Server: n.deps.Server, Seeds: n.deps.Seeds, Rand: n.deps.Rand,
+		Log: n.log, Pool: n.deps.Pool, Server: n.deps.Server, Seeds: n.deps.Seeds, Rand: splitRand(n.deps.Rand),
 		Self:    fleet.Peer{ID: id, Place: n.deps.Place, Addr: n.self, Disk: n.deps.DataDir != ""},
 		Changed: n.onChange,
 	})
 	return err
 }
 
+// splitRand returns a source of its own for a part that runs concurrently with the others.
+func splitRand(r *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(r.Uint64(), r.Uint64())) }
+
 func (n *Node) serve(ln net.Listener, handler func(*Node) http.Handler) {
 	if ln == nil {
 		return
