--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -71,8 +71,9 @@
 	return m.membersIndex > m.commitIndex || m.commitIndex < m.termStart
 }
 
-// Handed reports whether a member has no vote and the membership that says so is committed.
-func (m *Machine) Handed(id MemberID) bool {
+// VoteHandedOver reports whether a member has no vote and the membership that says so is
+// committed, so that the loss of the member costs the group nothing.
+func (m *Machine) VoteHandedOver(id MemberID) bool {
 	return m.role == Leader && !m.changePending() && !m.members.IsVoter(id)
 }
 
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -186,7 +186,7 @@
 func (g *group) handOver(h *host) {
 	g.leaving[h.id] = true
 	g.adjust(10)
-	if l := g.leader(); l != nil && l.machine.Handed(h.id) {
+	if l := g.leader(); l != nil && l.machine.VoteHandedOver(h.id) {
 		g.loseDisk(h)
 	}
 }
--- a/core/raft/voters_test.go
+++ b/core/raft/voters_test.go
@@ -62,7 +62,7 @@
 		g.adjust(30)
 		l := g.leader()
 		is.True(l != nil && l != leaving)
-		is.True(l.machine.Handed(leaving.id))
+		is.True(l.machine.VoteHandedOver(leaving.id))
 		is.True(l.machine.Status().Members.IsVoter(spare.id))
 		is.Equal(l.machine.Status().Members.Voters(), 3)
 		leaving.up, leaving.lost = false, true
--- a/io/ctrl/assess.go
+++ b/io/ctrl/assess.go
@@ -52,7 +52,8 @@
 	delete(a.open, id)
 }
 
-// predecessor is the state, on this host, of a holder that another one replaces.
+// predecessor is the state, on this host, of a holder whose end is assessed: another one replaces
+// it, or it is silent.
 type predecessor struct {
 	id    fleet.NodeID
 	state quota.HolderState
--- a/io/ctrl/leave.go
+++ b/io/ctrl/leave.go
@@ -59,7 +59,7 @@
 	if _, ok := ms.Find(args.Member); ok {
 		h.leader.leaving[args.Member] = now
 	}
-	if reply.Handed = h.machine.Handed(args.Member); reply.Handed {
+	if reply.Handed = h.machine.VoteHandedOver(args.Member); reply.Handed {
 		return
 	}
 	// A leader without learners still hands its leadership over to another voter. With more voters
