--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"dotterelgap/core/fleet"
+)
 
 // Policy is one published version of the routing policy.
 type Policy struct {
@@ -28,6 +32,8 @@
 	Priority *int
 	// Prepaid is the number of tokens that were paid for; nil means no limit.
 	Prepaid *int64
+	// Regions are the regions that may process the customer's requests; empty if all may.
+	Regions []fleet.Region
 }
 
 // Service is a group of interchangeable upstreams.
@@ -36,6 +42,11 @@
 	HealthPath string
 	// MaxConns limits the connections to one upstream from all entries together.
 	MaxConns int
+	// ColdFor is how long an upstream is cold after its start; 0 if it never is.
+	ColdFor time.Duration
+	// ColdPerSecond is the number of requests a second that a cold upstream tolerates from all
+	// entries together; 0 if there is no bound.
+	ColdPerSecond float64
 	// Engine is set if the upstreams are model engines.
 	Engine *Engine
 }
--- a/core/policy/route.go
+++ b/core/policy/route.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"dotterelgap/core/fleet"
+)
 
 // Kind states whether the requests of a route may run more than once.
 type Kind string
@@ -42,6 +46,8 @@
 	// Resumable marks a route whose streams may continue at another upstream after a
 	// break.
 	Resumable bool
+	// Regions are the regions that may process the route's requests; empty if all may.
+	Regions []fleet.Region
 }
 
 // Share is the weight of a service in the split of a route's requests.
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"dotterelgap/core/fleet"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -26,9 +28,14 @@
 	// Input is the prompt's length in tokens, Output the maximum number of tokens that
 	// may be generated.
 	Input, Output int
+	// Rank is the request's priority; 0 is the most urgent.
+	Rank int
 	// Objective is the time from now until which the first token should arrive; 0 if there is
-	// none.
-	Objective time.Duration
+	// none. Deadline is the time from now until which the caller waits.
+	Objective, Deadline time.Duration
+	// RouteRegions and CustomerRegions are the regions whose upstreams may get the request. Both
+	// lists bind, and an empty one allows all regions.
+	RouteRegions, CustomerRegions []fleet.Region
 	// Exclude lists the upstreams that were already tried.
 	Exclude []string
 }
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -66,8 +66,13 @@
 	pausedUntil, avoidUntil time.Time
 }
 
-// Engine describes the engines of a service.
+// Engine describes the upstreams of a service.
 type Engine struct {
+	// Slots is the number of requests that an upstream runs concurrently; 0 if it is unknown.
+	Slots int
+	// ColdPerSecond is the number of requests a second that a cold upstream tolerates from all
+	// entries together; 0 if it has no such bound.
+	ColdPerSecond float64
 	// KVTokens is the size of an engine's KV memory in tokens; 0 if it is unknown.
 	KVTokens int
 	// FetchPerToken is the time to fetch the KV cache of a token from another engine; 0 if
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -27,9 +27,12 @@
 	route    *policy.Route
 	service  *policy.Service
 	customer string
-	info     RequestInfo
-	body     []byte
-	deadline time.Time
+	// customerRank is the priority of the customer, or nil if the route's counts.
+	customerRank    *int
+	customerRegions []fleet.Region
+	info            RequestInfo
+	body            []byte
+	deadline        time.Time
 	// reservation identifies the reservation of tokens. Callers choose the ids of their
 	// requests, which need not differ.
 	reservation string
@@ -119,7 +122,7 @@
 		if !ok {
 			return errUnknownKey
 		}
-		c.customer = cu.Name
+		c.customer, c.customerRank, c.customerRegions = cu.Name, cu.Priority, cu.Regions
 	}
 	if c.service, ok = c.table.Service(c.route.Service(xxhash.Sum64String(c.id))); !ok {
 		return errNoRoute
@@ -262,10 +265,18 @@
 func (c *call) query() sched.Query {
 	return sched.Query{
 		Service: c.service.Name, Parts: c.parts, Input: c.info.Input, Output: c.info.Output, Exclude: c.tried,
-		Objective: c.objectiveLeft(),
+		Rank: c.rank(), Objective: c.objectiveLeft(), Deadline: c.timeLeft(), RouteRegions: c.route.Regions, CustomerRegions: c.customerRegions,
 	}
 }
 
+// rank returns the priority of the request; 0 is the most urgent.
+func (c *call) rank() int {
+	if c.customerRank != nil {
+		return *c.customerRank
+	}
+	return c.route.Priority
+}
+
 // objectiveLeft returns the time until the route's objective, or until the deadline if the
 // objective has passed or there is none.
 func (c *call) objectiveLeft() time.Duration {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -137,7 +137,12 @@
 			return sched.Engine{}
 		}
 		if s, ok := table.Service(service); ok && s.Engine != nil {
-			return sched.Engine{KVTokens: s.Engine.KVTokens, FetchPerToken: s.Engine.FetchPerToken}
+			return sched.Engine{
+				Slots: s.Engine.Slots, ColdPerSecond: s.ColdPerSecond,
+				KVTokens: s.Engine.KVTokens, FetchPerToken: s.Engine.FetchPerToken,
+			}
+		} else if ok {
+			return sched.Engine{ColdPerSecond: s.ColdPerSecond}
 		}
 		return sched.Engine{}
 	})
