Bound the requests to cold upstreams over all nodes

Cause: cold_left_ms and cold_per_s were read and used by nothing, so a cold upstream got its usual share at once, from each node on its own.

Ruled out: parts of the nodes that are heard (each side of a partition would use the whole); of the known nodes as gossip keeps them (a restarted node knows the seeds only, and records are deleted after 2 min); counting what all send (exact only while no datagram is lost).

Change: nodes replicate the addresses at which nodes ran within the last hour, and a node uses its part only after all of them have reported the same set, or those that respond have and the silent ones were in a set that all reported. So each node that sends divides by a superset of those that send, and the bound, dealt in turn in the order of a rendezvous hash, is never exceeded in sum. A heartbeat by which an upstream has become cold is replicated at once; the time is counted down by the local clock. A node that hears half of the known nodes or less takes all upstreams with a bound for cold.

--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -9,6 +9,7 @@
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/parse"
 	"dotterelgap/core/quota"
+	"dotterelgap/core/sched"
 	"dotterelgap/io/front"
 	"dotterelgap/io/telem"
 )
@@ -49,12 +50,18 @@
 	RetryRatio  float64        `json:"retry_ratio"`
 	RetryBurst  float64        `json:"retry_burst"`
 	RetryWindow parse.Duration `json:"retry_window"`
-	LogLevel    string         `json:"log_level"`
+	// ColdOverage and ColdBurst bound the requests that all nodes send to a cold upstream in one
+	// second: its rate times ColdOverage, plus ColdBurst.
+	ColdOverage float64 `json:"cold_overage"`
+	ColdBurst   float64 `json:"cold_burst"`
+	LogLevel    string  `json:"log_level"`
 }
 
 // Limits of a node's settings.
 const (
 	maxTolerate = 3
+	// maxColdOverage and maxColdBurst are beyond what an upstream that needs a bound tolerates.
+	maxColdOverage, maxColdBurst = 100, 10_000
 	// memoryShare is the share of the memory from which on the runtime collects
 	// garbage more often.
 	memoryShare = 0.75
@@ -69,6 +76,7 @@
 	s := &NodeSettings{
 		StopTimeout: parse.Duration(10 * time.Second), TolerateHosts: 1, LogLevel: "info",
 		RetryRatio: 0.2, RetryBurst: 50, RetryWindow: parse.Duration(10 * time.Second),
+		ColdOverage: 1,
 	}
 	ps := parse.Into(file, data, s)
 	s.check(ps)
@@ -102,6 +110,12 @@
 	if s.RetryRatio < 0 || s.RetryBurst < 0 || s.RetryWindow <= 0 {
 		ps.Add("retry_ratio", "retry_ratio and retry_burst must not be negative, retry_window must be positive")
 	}
+	if s.ColdOverage < 0 || s.ColdOverage > maxColdOverage {
+		ps.Add("cold_overage", "must be from 0 to %d", maxColdOverage)
+	}
+	if s.ColdBurst < 0 || s.ColdBurst > maxColdBurst {
+		ps.Add("cold_burst", "must be from 0 to %d", maxColdBurst)
+	}
 }
 
 // size returns the number of control hosts that vote.
@@ -130,6 +144,12 @@
 	return front.RetryOptions{Ratio: s.RetryRatio, Burst: s.RetryBurst, Window: s.RetryWindow.Std()}
 }
 
+func (s *NodeSettings) sched() sched.Options {
+	opts := sched.DefaultOptions()
+	opts.ColdOverage, opts.ColdBurst = s.ColdOverage, s.ColdBurst
+	return opts
+}
+
 // controlHostHorizon is the initial and the cutoff horizon of a node that can be a
 // control host. It only has to outlast an election.
 const controlHostHorizon = 700 * time.Millisecond
--- a/core/fleet/peer.go
+++ b/core/fleet/peer.go
@@ -23,7 +23,9 @@
 	Leader netip.AddrPort
 	// Term is the term of Leader: of two nodes, the one with the higher term has the
 	// more recent view.
-	Term     uint64
+	Term uint64
+	// Sharers is a hash of the sharers that the node knows.
+	Sharers  uint64
 	Draining bool
 	// Left is set in the node's leave message, its last heartbeat.
 	Left bool
--- a/core/gossip/beats.go
+++ b/core/gossip/beats.go
@@ -140,7 +140,7 @@
 			m.partner(from).merged = 0
 			continue
 		}
-		u.Seq = b.Count
+		u.Seq, u.Cold = b.Count, m.coldLeft(now, u.ID)
 		m.putUpstream(now, u, from)
 	}
 }
--- a/core/gossip/machine.go
+++ b/core/gossip/machine.go
@@ -40,6 +40,8 @@
 	Seeds []netip.AddrPort
 	Rand  *rand.Rand
 	Now   time.Time
+	// Bootstrap is set for the very first start of the whole system.
+	Bootstrap bool
 }
 
 // partner is the state of the exchanges with one incarnation of another node.
@@ -59,9 +61,12 @@
 	peers               *Store[fleet.NodeID, fleet.Peer]
 	upstreams           *Store[string, fleet.Upstream]
 	quarantines         quarantines
+	sharers             sharers
 	partners            map[fleet.NodeID]*partner
 	peerHeartbeatAt     map[fleet.NodeID]time.Time
 	upstreamHeartbeatAt map[string]time.Time
+	// coldUntil is when the upstreams that are cold cease to be.
+	coldUntil map[string]time.Time
 	// upstreamReplicatedAt is when this or another node last replicated an upstream's record.
 	upstreamReplicatedAt map[string]time.Time
 	heartbeatAt          time.Time
@@ -82,7 +87,8 @@
 	m := &Machine{
 		self: p.Self, seeds: slices.Clone(p.Seeds), rnd: p.Rand,
 		partners: map[fleet.NodeID]*partner{}, peerHeartbeatAt: map[fleet.NodeID]time.Time{}, upstreamHeartbeatAt: map[string]time.Time{},
-		upstreamReplicatedAt: map[string]time.Time{},
+		upstreamReplicatedAt: map[string]time.Time{}, coldUntil: map[string]time.Time{},
+		sharers: newSharers(p),
 	}
 	m.peers = newStore[fleet.NodeID, fleet.Peer](&m.clock)
 	m.upstreams = newStore[string, fleet.Upstream](&m.clock)
@@ -115,6 +121,7 @@
 func (m *Machine) heartbeat(now time.Time) {
 	m.heartbeatAt = now
 	m.self.Beat++
+	m.self.Sharers = m.sharers.hash()
 	m.storePeer(m.self, m.self.ID)
 }
 
@@ -180,10 +187,12 @@
 			m.upstreams.Delete(id)
 			delete(m.upstreamHeartbeatAt, id)
 			delete(m.upstreamReplicatedAt, id)
+			delete(m.coldUntil, id)
 			m.version++
 		}
 	}
 	m.quarantines.expire(now)
+	m.updateSharers(now)
 }
 
 func (m *Machine) forgetPeer(id fleet.NodeID) {
@@ -259,8 +268,8 @@
 func (m *Machine) delta(now time.Time, since uint64, to fleet.NodeID) Delta {
 	return Delta{
 		Upto: m.clock, Peers: m.peers.Since(since, to), Beats: m.beatsSince(since, to),
-		Upstreams: m.upstreams.Since(since, to), UpstreamBeats: m.upstreamBeatsSince(since, to),
-		Quarantines: m.quarantines.since(now, since, to),
+		Upstreams: m.withColdLeft(now, m.upstreams.Since(since, to)), UpstreamBeats: m.upstreamBeatsSince(since, to),
+		Quarantines: m.quarantines.since(now, since, to), Sharers: m.sharersFor(now, to),
 	}
 }
 
@@ -295,6 +304,9 @@
 		m.putUpstream(now, u, from.ID)
 	}
 	m.mergeUpstreamBeats(now, from.ID, d.UpstreamBeats)
+	if m.sharers.merge(now, d.Sharers) {
+		m.version++
+	}
 	for _, q := range d.Quarantines {
 		if m.quarantines.put(now, q, from.ID) {
 			m.version++
@@ -311,6 +323,9 @@
 		return
 	}
 	m.peerHeartbeatAt[p.ID] = now
+	if !p.Left && m.sharers.hear(p.Addr, now) {
+		m.version++
+	}
 	if !known || old.Left != p.Left || old.Draining != p.Draining || old.Addr != p.Addr || old.Policy != p.Policy {
 		m.version++
 	}
--- a/core/gossip/message.go
+++ b/core/gossip/message.go
@@ -31,4 +31,6 @@
 	// UpstreamBeats are the counters of the upstreams of which nothing else has changed.
 	UpstreamBeats Beats
 	Quarantines   []fleet.Quarantine
+	// Sharers are all sharers that the sender knows, if the receiver has reported another set.
+	Sharers []fleet.Sharer
 }
--- a/core/gossip/upstreams.go
+++ b/core/gossip/upstreams.go
@@ -8,13 +8,14 @@
 )
 
 // RecordHeartbeat records a heartbeat or leave message that an upstream sent to this node. A
-// new upstream and a changed state, incarnation or address are urgent.
+// new upstream, a changed state, incarnation or address, and one that has become cold are urgent.
 func (m *Machine) RecordHeartbeat(now time.Time, u fleet.Upstream) {
 	old, known := m.upstreams.Get(u.ID)
+	colder := m.colder(now, u)
 	if !m.putUpstream(now, u, "") {
 		return
 	}
-	if !known || old.State != u.State || !old.Born.Equal(u.Born) || old.Addr != u.Addr {
+	if !known || old.State != u.State || !old.Born.Equal(u.Born) || old.Addr != u.Addr || colder {
 		m.urgent = true
 	}
 }
@@ -33,11 +34,12 @@
 func (m *Machine) putUpstream(now time.Time, u fleet.Upstream, source fleet.NodeID) bool {
 	old, known := m.upstreams.Get(u.ID)
 	old.Seq, old.Cold = u.Seq, u.Cold
-	changed := !known || old != u
+	changed := !known || old != u || m.colder(now, u)
 	if !changed && !m.replicationDue(now, u.ID, source) {
 		if !m.upstreams.Refresh(u.ID, u) {
 			return false
 		}
+		m.setCold(now, u)
 		m.upstreamHeartbeatAt[u.ID] = now
 		if source != "" {
 			m.upstreamReplicatedAt[u.ID] = now
@@ -51,6 +53,7 @@
 	if !put(u.ID, u, source) {
 		return false
 	}
+	m.setCold(now, u)
 	m.upstreamHeartbeatAt[u.ID] = now
 	m.upstreamReplicatedAt[u.ID] = now
 	if changed {
@@ -83,6 +86,8 @@
 type KnownUpstream struct {
 	fleet.Upstream
 	HeartbeatAt time.Time
+	// ColdUntil is when the upstream ceases to be cold; zero if it is not.
+	ColdUntil time.Time
 }
 
 // Upstreams returns the known upstreams, without those that are gone and those whose
@@ -101,7 +106,7 @@
 		if u.State == fleet.UpstreamGone || latest[u.Addr].ID != u.ID {
 			continue
 		}
-		out = append(out, KnownUpstream{Upstream: u, HeartbeatAt: m.upstreamHeartbeatAt[u.ID]})
+		out = append(out, KnownUpstream{Upstream: u, HeartbeatAt: m.upstreamHeartbeatAt[u.ID], ColdUntil: m.coldUntil[u.ID]})
 	}
 	return out
 }
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -73,6 +73,9 @@
 	// EjectShare is the maximum share of a service's upstreams that may be ejected at
 	// the same time.
 	EjectShare float64
+	// ColdOverage is the factor by which the requests to a cold upstream in one second may exceed
+	// its rate, and ColdBurst the number by which they may exceed it besides.
+	ColdOverage, ColdBurst float64
 }
 
 // DefaultOptions returns the options that nodes use.
@@ -80,6 +83,7 @@
 	return Options{
 		HomeBonus: 20 * time.Millisecond, HomeRanks: 3, RecomputeWeight: 4, SafeShare: 0.4, LateWeight: 8, LimitCost: 400 * time.Millisecond,
 		EjectAfter: 2, EjectTime: time.Second, EjectShare: 0.4,
+		ColdOverage: 1,
 	}
 }
 
@@ -95,6 +99,12 @@
 	// share is the share of an upstream's limit that the nodes in contact with this one may
 	// use.
 	share float64
+	// sharers are the hashes of the nodes that share bounds, self that of this one, and joined is
+	// set if this one uses its part. sharersVersion increases with each change.
+	sharers        []uint64
+	self           uint64
+	joined         bool
+	sharersVersion uint64
 	// recent holds this node's latest 16 outcomes, with a set bit for each failure.
 	recent uint16
 	// candidates, atHome and homes are buffers that each decision reuses.
@@ -152,6 +162,7 @@
 	}
 	t.inFlight++
 	t.limiter.sent(now, b.share)
+	b.recordCold(now, t)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
 		return c, u, t.limiter != nil
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -34,7 +34,7 @@
 		if t.avoided(now) != avoided || now.Before(t.pausedUntil) || slices.Contains(q.Exclude, t.up.ID) {
 			continue
 		}
-		if t.limiter.opensIn(now, b.share) > 0 {
+		if b.opensIn(now, t) > 0 {
 			closed = true
 			continue
 		}
--- a/core/sched/signals.go
+++ b/core/sched/signals.go
@@ -74,8 +74,9 @@
 // Opening is when an upstream may get a request again.
 type Opening struct {
 	In time.Duration
-	// Paused is set if the upstream asked for a pause, and not set if its limit is reached.
-	Paused bool
+	// Paused is set if the upstream asked for a pause, and Paced if it is cold or has recovered
+	// lately. If neither is set, its limit is reached.
+	Paused, Paced bool
 }
 
 // OpensIn returns the first time at which an upstream of the service that gets no requests now
@@ -83,6 +84,9 @@
 func (b *Balancer) OpensIn(now time.Time, service string) (first Opening, ok bool) {
 	for _, t := range b.services[service] {
 		o := Opening{In: t.limiter.opensIn(now, b.share)}
+		if cold := b.coldOpensIn(now, t); cold > o.In {
+			o = Opening{In: cold, Paced: true}
+		}
 		if pause := t.pausedUntil.Sub(now); pause > o.In {
 			o = Opening{In: pause, Paused: true}
 		}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -55,6 +55,9 @@
 	pending    []pendingToken
 	lastTicket uint64
 	health     health
+	// returnedAt is when an evacuation of its place was withdrawn; zero if none was.
+	returnedAt time.Time
+	cold       cold
 	// limiter is nil while the upstream names no limit.
 	limiter *limiter
 	// ejectedUntil is the time until which the upstream is ejected.
@@ -73,6 +76,8 @@
 	// ColdPerSecond is the number of requests a second that a cold upstream tolerates from all
 	// entries together; 0 if it has no such bound.
 	ColdPerSecond float64
+	// ColdFor is how long an upstream is cold after its start; 0 if it is unknown.
+	ColdFor time.Duration
 	// KVTokens is the size of an engine's KV memory in tokens; 0 if it is unknown.
 	KVTokens int
 	// FetchPerToken is the time to fetch the KV cache of a token from another engine; 0 if
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -233,10 +233,7 @@
 	if !ok || last != errNoUpstream {
 		return last
 	}
-	failure := *errUpstreamLimited
-	if opening.Paused {
-		failure = *errUpstreamPaused
-	}
+	failure := *c.f.openingError(opening)
 	spread := time.Duration(xxhash.Sum64String(c.id) % uint64(retrySpread))
 	failure.retryAfter = max(failure.retryAfter, opening.In) + spread
 	return &failure
--- /dev/null
+++ b/io/front/cold.go
@@ -0,0 +1,49 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/sched"
+
+	"go.uber.org/zap"
+)
+
+// SetSharers sets the nodes that share the bounds on requests to cold upstreams.
+func (f *Front) SetSharers(s fleet.Sharers) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.SetSharers(s)
+}
+
+// updateCold applies how long the upstreams stay cold, and logs the changes. The caller holds
+// f.mu.
+func (f *Front) updateCold() {
+	changes := f.balancer.SetCold(time.Now())
+	f.metrics.paced.Record(context.Background(), int64(f.balancer.PacedUpstreams()))
+	for _, c := range changes {
+		if c.Bounded {
+			f.warned.malformed(c.Upstream, []string{"cold_left"})
+		}
+		if c.Left == 0 {
+			f.log.Info("front: an upstream is cold no longer", zap.String("upstream", c.Upstream.ID))
+			continue
+		}
+		f.log.Info("front: an upstream is cold and gets a limited rate of requests",
+			zap.String("upstream", c.Upstream.ID), zap.Duration("left", c.Left.Round(time.Millisecond)), zap.Int("part_per_second", c.Part))
+	}
+}
+
+// openingError returns the error of a request for which all upstreams get no requests until an
+// opening.
+func (f *Front) openingError(o sched.Opening) *responseError {
+	switch {
+	case o.Paced:
+		f.metrics.heldBack.Add(context.Background(), 1)
+		return errUpstreamPaced
+	case o.Paused:
+		return errUpstreamPaused
+	}
+	return errUpstreamLimited
+}
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -33,6 +33,7 @@
 	errQuarantined     = &responseError{status: http.StatusServiceUnavailable, code: "quarantined"}
 	errUpstreamLimited = &responseError{status: http.StatusServiceUnavailable, code: "upstream_limited", retryAfter: 300 * time.Millisecond}
 	errUpstreamPaused  = &responseError{status: http.StatusServiceUnavailable, code: "upstream_paused", retryAfter: 300 * time.Millisecond}
+	errUpstreamPaced   = &responseError{status: http.StatusServiceUnavailable, code: "upstream_paced", retryAfter: 300 * time.Millisecond}
 	errUpstreamFull    = &responseError{status: http.StatusServiceUnavailable, code: "upstream_full", retryAfter: 300 * time.Millisecond}
 	errInDoubt         = &responseError{status: http.StatusBadGateway, code: "in_doubt"}
 	errTimeout         = &responseError{status: http.StatusGatewayTimeout, code: "timeout"}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -138,14 +138,15 @@
 		}
 		if s, ok := table.Service(service); ok && s.Engine != nil {
 			return sched.Engine{
-				Slots: s.Engine.Slots, ColdPerSecond: s.ColdPerSecond,
+				Slots: s.Engine.Slots, ColdPerSecond: s.ColdPerSecond, ColdFor: s.ColdFor,
 				KVTokens: s.Engine.KVTokens, FetchPerToken: s.Engine.FetchPerToken,
 			}
 		} else if ok {
-			return sched.Engine{ColdPerSecond: s.ColdPerSecond}
+			return sched.Engine{ColdPerSecond: s.ColdPerSecond, ColdFor: s.ColdFor}
 		}
 		return sched.Engine{}
 	})
+	f.updateCold()
 }
 
 // SetEntries sets the entries that share the retry budget and the limits of upstreams.
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -20,6 +20,8 @@
 	attempts    metric.Int64Counter
 	tokens      metric.Int64Counter
 	quarantines metric.Int64Counter
+	heldBack    metric.Int64Counter
+	paced       metric.Int64Gauge
 	firstByte   metric.Float64Histogram
 	duration    metric.Float64Histogram
 }
@@ -30,6 +32,8 @@
 		attempts: telem.Counter("front", "front_attempts", "Attempts at upstreams by how they ended."),
 		quarantines: telem.Counter("front", "front_quarantines",
 			"Quarantines of prompt parts that this node began or lifted."),
+		heldBack:  telem.Counter("front", "front_paced_requests", "Requests that found only upstreams that are paced."),
+		paced:     telem.Amount("front", "front_paced_upstreams", "Upstreams that are paced: cold, started or recovered lately."),
 		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed."),
 		firstByte: telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
 		duration:  telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -30,6 +30,8 @@
 	Self   fleet.Peer
 	Seeds  []netip.AddrPort
 	Rand   *rand.Rand
+	// Bootstrap is set for the very first start of the whole system.
+	Bootstrap bool
 	// Changed is called after a change of the peers or upstreams, always from the same
 	// goroutine.
 	Changed func()
@@ -71,7 +73,7 @@
 	m := &Mesh{
 		deps: deps, log: deps.Log, cancel: cancel,
 		wakeup: make(chan struct{}, 1), slots: make(chan struct{}, maxExchanges),
-		machine:  gossip.New(gossip.Params{Self: deps.Self, Seeds: deps.Seeds, Rand: deps.Rand, Now: time.Now()}),
+		machine:  gossip.New(gossip.Params{Self: deps.Self, Seeds: deps.Seeds, Rand: deps.Rand, Now: time.Now(), Bootstrap: deps.Bootstrap}),
 		inFlight: map[netip.AddrPort]bool{},
 	}
 	if err := deps.Server.Register("Mesh", &Service{mesh: m}); err != nil {
@@ -221,6 +223,13 @@
 	return m.machine.Known(time.Now())
 }
 
+// Sharers returns the nodes that share what holds for all of them together.
+func (m *Mesh) Sharers() fleet.Sharers {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Sharers(time.Now())
+}
+
 // Update changes this node's own record. An urgent change is sent to all live nodes
 // immediately.
 func (m *Mesh) Update(urgent bool, change func(*fleet.Peer)) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -56,6 +56,7 @@
 	// Size is the number of control hosts that vote.
 	Size  int
 	Retry front.RetryOptions
+	Sched sched.Options
 	Quota quota.Options
 	// LeaveNotice is how long a node that shuts down keeps serving, so that the load
 	// balancer detects that it is not ready.
@@ -110,7 +111,7 @@
 	_, maxCallers := conns.Shares()
 	n.front = front.Start(front.Deps{
 		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
-		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
+		Budgets: n.budgets, Conns: n.conns, Sched: deps.Sched, Retry: deps.Retry,
 		LeaveNotice: deps.LeaveNotice, MaxCallers: maxCallers,
 		Broadcast:  func(u sched.Update) { n.updates.enqueue(u) },
 		Report:     func(r poison.Report) { n.updates.enqueue(r) },
@@ -142,7 +143,7 @@
 func (n *Node) startMesh(id fleet.NodeID) error {
 	var err error
 	n.mesh, err = mesh.Start(mesh.Deps{
-		Log: n.log, Pool: n.deps.Pool, Server: n.deps.Server, Seeds: n.deps.Seeds, Rand: splitRand(n.deps.Rand),
+		Log: n.log, Pool: n.deps.Pool, Server: n.deps.Server, Seeds: n.deps.Seeds, Rand: splitRand(n.deps.Rand), Bootstrap: n.deps.Bootstrap,
 		Self:    fleet.Peer{ID: id, Place: n.deps.Place, Addr: n.self, Disk: n.deps.DataDir != ""},
 		Changed: n.onChange,
 	})
@@ -197,6 +198,7 @@
 	var ups []fleet.Upstream
 	addrs := map[netip.AddrPort]bool{}
 	for _, u := range n.mesh.Upstreams(n.inUse) {
+		u.Cold = max(time.Until(u.ColdUntil), 0)
 		ups = append(ups, u.Upstream)
 		addrs[u.Addr] = true
 	}
@@ -210,6 +212,7 @@
 	alive := n.mesh.Alive()
 	// The seeds are known nodes too, also before the first exchange with one.
 	n.front.SetEntries(sched.Entries{Alive: len(alive), Known: max(n.mesh.Known(), len(n.deps.Seeds))})
+	n.front.SetSharers(n.mesh.Sharers())
 	n.budgets.setWitnesses(alive)
 	n.updates.setPeers(alive)
 	var control []netip.AddrPort
