Pace upstreams that have started or recovered

Cause: an upstream that has just started or recovered was equal to all others from its first second.

Ruled out: a fixed time (a slow starter is no better after it); reports of waiting requests (business services have none, and they are stale).

Change: core/pace, a pure machine: 10 requests a second over all nodes at first, doubled each second while responses are in time, halved at most each 0.5 s when one is late, fails or is rejected, never under 2 a second over all nodes and 0.1 for a node. core/sched begins a pace for a new incarnation of a service that the node has known for 10 s, after an ejection, a pause or a return of the place, not for the only upstream of a service. Nodes tell each other of late and rejected requests with the update Slowed. The bound while cold is a ceiling besides.

--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -54,7 +54,9 @@
 	// second: its rate times ColdOverage, plus ColdBurst.
 	ColdOverage float64 `json:"cold_overage"`
 	ColdBurst   float64 `json:"cold_burst"`
-	LogLevel    string  `json:"log_level"`
+	// Pace limits the requests to upstreams that have started or recovered.
+	Pace     bool   `json:"pace"`
+	LogLevel string `json:"log_level"`
 }
 
 // Limits of a node's settings.
@@ -147,6 +149,7 @@
 func (s *NodeSettings) sched() sched.Options {
 	opts := sched.DefaultOptions()
 	opts.ColdOverage, opts.ColdBurst = s.ColdOverage, s.ColdBurst
+	opts.Pace = s.Pace
 	return opts
 }
 
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -76,6 +76,8 @@
 	// ColdOverage is the factor by which the requests to a cold upstream in one second may exceed
 	// its rate, and ColdBurst the number by which they may exceed it besides.
 	ColdOverage, ColdBurst float64
+	// Pace limits the requests to upstreams that have started or recovered.
+	Pace bool
 }
 
 // DefaultOptions returns the options that nodes use.
@@ -105,6 +107,9 @@
 	self           uint64
 	joined         bool
 	sharersVersion uint64
+	// knownSince is since when the services have had upstreams. paceChanges have not been read yet.
+	knownSince  map[string]time.Time
+	paceChanges []PaceChange
 	// recent holds this node's latest 16 outcomes, with a set bit for each failure.
 	recent uint16
 	// candidates, atHome and homes are buffers that each decision reuses.
@@ -163,6 +168,7 @@
 	t.inFlight++
 	t.limiter.sent(now, b.share)
 	b.recordCold(now, t)
+	t.pace.Sent(now)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
 		return c, u, t.limiter != nil
@@ -195,6 +201,7 @@
 	}
 	t.clearPending(c.Ticket)
 	t.inFlight = max(t.inFlight-1, 0)
+	slowed, tell := t.endedPace(now, c, o)
 	switch o {
 	case Served:
 		b.recent <<= 1
@@ -207,7 +214,7 @@
 		// then likely to be on this node.
 		return Update{Kind: Failure, Upstream: t.hash}, bits.OnesCount16(b.recent) <= maxReportedFailures
 	}
-	return Update{}, false
+	return slowed, tell
 }
 
 // maxReportedFailures is the number of failures among a node's latest 16 outcomes up to
@@ -219,6 +226,7 @@
 func (b *Balancer) recordFailure(now time.Time, t *target, weight float64) {
 	if t.health.recordFailure(now, weight) >= float64(b.opts.EjectAfter) && !now.Before(t.ejectedUntil) && b.mayEject(now, t) {
 		t.ejectedUntil = now.Add(b.opts.EjectTime << t.health.eject())
+		b.beginPace(now, t, "ejected")
 	}
 }
 
--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -45,8 +45,8 @@
 	// returnedSeq the counter of the latest heartbeat then.
 	returnedAt  time.Time
 	returnedSeq uint64
-	// sent are the times of the latest requests, as a ring of the size of the part.
-	sent []time.Time
+	// free are the times from which on each request of the part may be sent again, as a ring.
+	free []time.Time
 	next int
 	// version is that of the sharers and rate for which the ring was made.
 	version   uint64
@@ -93,11 +93,11 @@
 }
 
 // PacedUpstreams returns the number of upstreams that get a limited rate of requests because they
-// are cold.
+// are cold, have started or have recovered.
 func (b *Balancer) PacedUpstreams() int {
 	n := 0
 	for _, t := range b.targets {
-		if !t.cold.until.IsZero() {
+		if !t.cold.until.IsZero() || t.pace != nil {
 			n++
 		}
 	}
@@ -147,12 +147,6 @@
 // isolatedShare is the share of the known nodes that an isolated node hears at most.
 const isolatedShare = 0.5
 
-// opensIn returns the time until a request may be sent to the upstream, as far as its limits and
-// its warm-up determine it; 0 if one may be sent now.
-func (b *Balancer) opensIn(now time.Time, t *target) time.Duration {
-	return max(t.limiter.opensIn(now, b.share), b.coldOpensIn(now, t))
-}
-
 // coldOpensIn returns the time until a request may be sent to a cold upstream, 0 if one may be
 // sent now or the upstream is not cold.
 func (b *Balancer) coldOpensIn(now time.Time, t *target) time.Duration {
@@ -160,13 +154,16 @@
 		return 0
 	}
 	b.resize(t)
-	if len(t.cold.sent) == 0 {
+	if len(t.cold.free) == 0 {
 		if left := t.cold.until.Sub(now); left > 0 {
 			return left
 		}
 		return coldRecheck
 	}
-	return max(t.cold.sent[t.cold.next].Add(coldWindow).Sub(now), 0)
+	if at := t.cold.free[t.cold.next]; now.Before(at) {
+		return at.Sub(now)
+	}
+	return 0
 }
 
 // recordCold counts a request to an upstream that may become cold within the same second.
@@ -176,11 +173,11 @@
 	}
 	b.resize(t)
 	c := &t.cold
-	if len(c.sent) == 0 {
+	if len(c.free) == 0 {
 		return
 	}
-	c.sent[c.next] = now
-	c.next = (c.next + 1) % len(c.sent)
+	c.free[c.next] = now.Add(coldWindow)
+	c.next = (c.next + 1) % len(c.free)
 }
 
 // resize gives the ring of latest requests the size of this node's part. It keeps the latest.
@@ -191,14 +188,14 @@
 	}
 	c.version, c.perSecond = b.sharersVersion, t.engine.ColdPerSecond
 	part := b.coldPart(t)
-	if part == len(c.sent) {
+	if part == len(c.free) {
 		return
 	}
-	sent := make([]time.Time, part)
-	for i := range min(part, len(c.sent)) {
-		sent[part-1-i] = c.sent[(c.next-1-i+2*len(c.sent))%len(c.sent)]
+	free := make([]time.Time, part)
+	for i := range min(part, len(c.free)) {
+		free[part-1-i] = c.free[(c.next-1-i+2*len(c.free))%len(c.free)]
 	}
-	c.sent, c.next = sent, 0
+	c.free, c.next = free, 0
 }
 
 // coldPart returns the number of requests that this node may send to a cold upstream in a
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -34,8 +34,8 @@
 		if t.avoided(now) != avoided || now.Before(t.pausedUntil) || slices.Contains(q.Exclude, t.up.ID) {
 			continue
 		}
-		if b.opensIn(now, t) > 0 {
-			closed = true
+		if in, limited := b.opensIn(now, t); in > 0 {
+			closed = closed || limited
 			continue
 		}
 		b.candidates = append(b.candidates, candidate{t: t, rank: ranks})
--- a/core/sched/signals.go
+++ b/core/sched/signals.go
@@ -62,6 +62,7 @@
 	if until := now.Add(pause); until.After(t.pausedUntil) {
 		t.pausedUntil = until
 	}
+	b.beginPace(now, t, "paused")
 	return Update{Kind: Paused, Upstream: t.hash, Pause: pause}, true
 }
 
@@ -84,8 +85,8 @@
 func (b *Balancer) OpensIn(now time.Time, service string) (first Opening, ok bool) {
 	for _, t := range b.services[service] {
 		o := Opening{In: t.limiter.opensIn(now, b.share)}
-		if cold := b.coldOpensIn(now, t); cold > o.In {
-			o = Opening{In: cold, Paced: true}
+		if paced := b.pacedFor(now, t); paced > o.In {
+			o = Opening{In: paced, Paced: true}
 		}
 		if pause := t.pausedUntil.Sub(now); pause > o.In {
 			o = Opening{In: pause, Paused: true}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelgap/core/fleet"
+	"dotterelgap/core/pace"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -55,6 +56,14 @@
 	pending    []pendingToken
 	lastTicket uint64
 	health     health
+	// pace limits the requests to an upstream that has started or recovered; nil if there is none.
+	pace *pace.Pace
+	// fresh is set until it is decided whether a new upstream is paced. pacedReturn is the return of
+	// its place for which it was paced.
+	fresh bool
+	// only is set while it is the only upstream of its service.
+	only        bool
+	pacedReturn time.Time
 	// returnedAt is when an evacuation of its place was withdrawn; zero if none was.
 	returnedAt time.Time
 	cold       cold
@@ -86,7 +95,7 @@
 }
 
 func newTarget(u Upstream) *target {
-	return &target{up: u, hash: xxhash.Sum64String(u.ID), cache: newCache(defaultCacheTokens), slowdown: 1}
+	return &target{up: u, hash: xxhash.Sum64String(u.ID), cache: newCache(defaultCacheTokens), slowdown: 1, fresh: true}
 }
 
 // setEngine sets the description of the engine, which may become known after the engine itself.
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -20,6 +20,9 @@
 	NamedLimit
 	// Paused means that the upstream wants no requests from the sender for a time.
 	Paused
+	// Slowed means that the upstream was late or rejected a request after it had started or
+	// recovered.
+	Slowed
 )
 
 // Update tells other nodes that a request was placed on an upstream, that an upstream
@@ -72,7 +75,7 @@
 
 // ParseUpdate decodes an update; ok is false if b is not an update or malformed.
 func ParseUpdate(b []byte) (u Update, ok bool) {
-	if len(b) == 0 || UpdateKind(b[0]) < Placement || UpdateKind(b[0]) > Paused {
+	if len(b) == 0 || UpdateKind(b[0]) < Placement || UpdateKind(b[0]) > Slowed {
 		return Update{}, false
 	}
 	r := codec.NewReader(b[1:])
@@ -123,7 +126,10 @@
 	}
 	switch u.Kind {
 	case Failure:
+		t.pace.Bad(now)
 		b.recordFailure(now, t, reportedFailure)
+	case Slowed:
+		t.pace.Bad(now)
 	case NamedLimit:
 		t.setLimit(now, u.Limit)
 	case Paused:
--- a/io/front/cold.go
+++ b/io/front/cold.go
@@ -20,7 +20,9 @@
 // updateCold applies how long the upstreams stay cold, and logs the changes. The caller holds
 // f.mu.
 func (f *Front) updateCold() {
-	changes := f.balancer.SetCold(time.Now())
+	now := time.Now()
+	changes := f.balancer.SetCold(now)
+	f.logPaces(f.balancer.SetPaces(now))
 	f.metrics.paced.Record(context.Background(), int64(f.balancer.PacedUpstreams()))
 	for _, c := range changes {
 		if c.Bounded {
@@ -47,3 +49,15 @@
 	}
 	return errUpstreamLimited
 }
+
+// logPaces logs the paces that have begun or ended.
+func (f *Front) logPaces(changes []sched.PaceChange) {
+	for _, c := range changes {
+		id, rate := zap.String("upstream", c.Upstream.ID), zap.Float64("per_second", float64(int(c.Rate*100))/100)
+		if c.Why == "" {
+			f.log.Info("front: the pace of an upstream ends", id, rate)
+			continue
+		}
+		f.log.Info("front: the pace of an upstream begins", id, rate, zap.String("why", c.Why))
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -245,6 +245,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.balancer.FirstToken(c, took)
+	if u, send := f.balancer.FirstTokenPace(time.Now(), c, took); send {
+		f.deps.Broadcast(u)
+	}
 }
 
 // opensIn returns when an upstream of the service that gets no requests now may get one
