Halve the pace by a score of failures, and start recovered upstreams at half

Upstreams that fail a few percent of their requests at any time were halved for each failure of each node, while only a node's own responses in time raise its rate.

Change: bad responses add to a score, and responses in time take from it, weighted by the number of nodes; the rate halves at a score of 2. An upstream that has recovered starts at half of what this node sent to it before. The test of the update Slowed expects that two reports halve the rate, since one is usual.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -33,6 +33,15 @@
 	badTime = 10 * time.Second
 )
 
+// Parameters of the failure score. A few failures among many responses in time are usual.
+const (
+	// halveAt is the score at which the rate halves, of which each bad response counts 1.
+	halveAt = 2.0
+	// goodCredit is what a response in time takes off the score, for each node: nodes tell each
+	// other of bad responses only.
+	goodCredit = 0.4
+)
+
 // enoughGood is the number of responses in time, after the latest bad one, that a pace needs to be
 // done.
 const enoughGood = 5
@@ -48,13 +57,16 @@
 	halvedAt    time.Time
 	heldAt      time.Time
 	good        int
+	nodes       float64
+	score       float64
 }
 
-// New returns the pace of an upstream that one of so many nodes sends to.
-func New(now time.Time, nodes int) *Pace {
+// New returns the pace of an upstream that one of so many nodes sends to. It starts at half of the
+// rate that the upstream got from this node before, if that is higher than the usual start.
+func New(now time.Time, nodes int, before float64) *Pace {
 	n := float64(max(nodes, 1))
 	return &Pace{
-		rate: max(startRate/n, leastNodeRate), least: max(leastRate/n, leastNodeRate), full: fullRate / n,
+		nodes: n, rate: max(startRate/n, leastNodeRate, before/2), least: max(leastRate/n, leastNodeRate), full: fullRate / n,
 		startedAt: now, grownAt: now, heldAt: now,
 	}
 }
@@ -92,6 +104,7 @@
 		return
 	}
 	p.good++
+	p.score = max(p.score-goodCredit*p.nodes, 0)
 	grown := min(max(now.Sub(p.grownAt), 0), maxGrowth)
 	p.rate *= math.Exp2(grown.Seconds() / doubleTime.Seconds())
 	p.grownAt = now
@@ -102,8 +115,12 @@
 	if p == nil {
 		return
 	}
-	p.good = 0
 	p.grownAt = now
+	if p.score++; p.score < halveAt {
+		return
+	}
+	p.score = halveAt
+	p.good = 0
 	if !p.halvedAt.IsZero() && now.Sub(p.halvedAt) < halveInterval {
 		return
 	}
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -169,6 +169,7 @@
 	t.limiter.sent(now, b.share)
 	b.recordCold(now, t)
 	t.pace.Sent(now)
+	t.usual.sent(now)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
 		return c, u, t.limiter != nil
--- a/core/sched/pacing.go
+++ b/core/sched/pacing.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"dotterelgap/core/pace"
@@ -22,6 +23,26 @@
 	Rate float64
 }
 
+// usual averages the rate of this node's requests to an upstream.
+type usual struct {
+	perSecond float64
+	at        time.Time
+}
+
+// usualTime is the time over which the rate of requests is averaged.
+const usualTime = 3 * time.Second
+
+// rate returns the average rate in requests per second.
+func (u *usual) rate(now time.Time) float64 {
+	return u.perSecond * math.Exp(-now.Sub(u.at).Seconds()/usualTime.Seconds())
+}
+
+// sent counts a request.
+func (u *usual) sent(now time.Time) {
+	u.perSecond = u.rate(now) + 1/usualTime.Seconds()
+	u.at = now
+}
+
 // SetPaces paces upstreams that are new or whose place has returned, and ends paces that are done.
 // It returns what has changed since the last call.
 func (b *Balancer) SetPaces(now time.Time) []PaceChange {
@@ -70,7 +91,7 @@
 		t.pace.Bad(now)
 		return
 	}
-	t.pace = pace.New(now, len(b.sharers))
+	t.pace = pace.New(now, len(b.sharers), t.usual.rate(now))
 	b.notePace(PaceChange{Upstream: t.up, Why: why, Rate: t.pace.Rate()})
 }
 
--- a/core/sched/pacing_test.go
+++ b/core/sched/pacing_test.go
@@ -186,5 +186,7 @@
 	is.True(ok)
 	before := b.PaceOf(s.ups[0].ID)
 	b.OnUpdate(s.now, parsed)
+	is.Equal(b.PaceOf(s.ups[0].ID), before) // one is usual
+	b.OnUpdate(s.now, parsed)
 	is.Equal(b.PaceOf(s.ups[0].ID), before/2)
 }
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -57,7 +57,8 @@
 	lastTicket uint64
 	health     health
 	// pace limits the requests to an upstream that has started or recovered; nil if there is none.
-	pace *pace.Pace
+	pace  *pace.Pace
+	usual usual
 	// fresh is set until it is decided whether a new upstream is paced. pacedReturn is the return of
 	// its place for which it was paced.
 	fresh bool
