Send to idle paced upstreams where there is no other

Change: if no other upstream is left, a paced one that has no request of this node may get one. Callers are then served as fast as the upstreams respond. The bound while cold is not touched. A request before its time delays the next by one interval, it does not add up.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -91,8 +91,9 @@
 		return
 	}
 	interval := time.Duration(float64(time.Second) / p.rate)
-	// A request that is a little late does not lower the rate.
-	if now.Sub(p.due) > interval/2 {
+	// A request that is a little late does not lower the rate, and one before its time delays the
+	// next one only.
+	if now.Sub(p.due) > interval/2 || now.Before(p.due) {
 		p.due = now
 	}
 	p.due = p.due.Add(interval)
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -110,6 +110,9 @@
 	// knownSince is since when the services have had upstreams. paceChanges have not been read yet.
 	knownSince  map[string]time.Time
 	paceChanges []PaceChange
+	// idlePacedToo is set while paced upstreams without requests of this node may be chosen before
+	// their time.
+	idlePacedToo bool
 	// recent holds this node's latest 16 outcomes, with a set bit for each failure.
 	recent uint16
 	// candidates, atHome and homes are buffers that each decision reuses.
--- a/core/sched/pacing.go
+++ b/core/sched/pacing.go
@@ -103,8 +103,8 @@
 
 // paceOpensIn returns the time until a request may be sent to a paced upstream. The only upstream
 // of a service is not paced, since there is none to send its requests to.
-func (t *target) paceOpensIn(now time.Time) time.Duration {
-	if t.pace == nil || t.only {
+func (b *Balancer) paceOpensIn(now time.Time, t *target) time.Duration {
+	if t.pace == nil || t.only || b.idlePacedToo && t.inFlight == 0 {
 		return 0
 	}
 	return t.pace.OpensIn(now)
@@ -113,7 +113,7 @@
 // pacedFor returns the time until a request may be sent to an upstream that is cold, has started or
 // has recovered.
 func (b *Balancer) pacedFor(now time.Time, t *target) time.Duration {
-	return max(b.coldOpensIn(now, t), t.paceOpensIn(now))
+	return max(b.coldOpensIn(now, t), b.paceOpensIn(now, t))
 }
 
 // opensIn returns the time until a request may be sent to the upstream, 0 if one may be sent now.
@@ -130,6 +130,18 @@
 	return max(limit, paced), limit > 0
 }
 
+// pickPaced chooses a paced upstream before its time, if there is no other and this node waits for
+// no response from it: callers are then served as fast as the upstreams respond.
+func (b *Balancer) pickPaced(now time.Time, q Query, list []*target, avoided bool) (c Choice, closed, ok bool) {
+	if !b.opts.Pace {
+		return Choice{}, false, false
+	}
+	b.idlePacedToo = true
+	c, closed, ok = b.pickFrom(now, q, list, avoided)
+	b.idlePacedToo = false
+	return c, closed, ok
+}
+
 // FirstTokenPace adapts the pace of the upstream to a first token, and returns the update for the
 // other nodes if it was late. send is false if there is none.
 func (b *Balancer) FirstTokenPace(now time.Time, c Choice, took time.Duration) (u Update, send bool) {
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -13,6 +13,9 @@
 	list := b.services[q.Service]
 	for _, avoided := range []bool{false, true} {
 		c, closed, ok := b.pickFrom(now, q, list, avoided)
+		if !ok {
+			c, closed, ok = b.pickPaced(now, q, list, avoided)
+		}
 		if ok {
 			return c, !closed || q.Objective <= 0 || c.firstTokenIn() <= q.Objective
 		}
