--- a/core/sched/coldsim_test.go
+++ b/core/sched/coldsim_test.go
@@ -334,3 +334,28 @@
 	_, ok = b.Pick(start, q)
 	is.True(ok)
 }
+
+// Guards against parts that leave some of the bound unused, or exceed it, for any number of nodes.
+func TestColdPartsAddUpToTheBound(t *testing.T) {
+	for _, n := range []int{1, 14, 19, 45, 360} {
+		is := is.New(t)
+		var all []netip.AddrPort
+		for i := range n {
+			all = append(all, simAddr(i))
+		}
+		opts := sched.DefaultOptions()
+		opts.ColdOverage, opts.ColdBurst = simColdOverage, simColdBurst
+		sum, most := 0, 0
+		for i := range n {
+			b := sched.New(opts, "here")
+			b.SetSharers(fleet.Sharers{Self: all[i], All: all, Joined: true})
+			ups := upstreams("model", 1)
+			ups[0].Cold = time.Second
+			b.SetUpstreams(ups, func(string) sched.Engine { return sched.Engine{ColdPerSecond: simColdPerSecond} })
+			part := b.SetCold(start)[0].Part
+			sum, most = sum+part, max(most, part)
+		}
+		is.Equal(sum, simColdBound)
+		is.True(most <= simColdBound/n+1)
+	}
+}
