Let operators evacuate places, and keep requests to their regions

Cause: the users' orders to send nothing to the upstreams of a place had no call, and regions of routes and customers were decoded and used by nothing. Ruled out: the order in the policy document, since an order must be able to change without a policy; gossip alone, since an acknowledged order must outlast the loss of all nodes; polling the leader, which many nodes don't reach. Change: the set of evacuated places with its number is replicated state, with the latest change of each place, so that a late copy of an order can't undo one that came after it. Gossip carries the set in each exchange, the confirmed policy brings it to a node that starts, and the balancer leaves out the upstreams of these places, and those outside the regions of the route and of the customer. Two new codes of refusals tell callers which of them it is.

--- a/commands/node.go
+++ b/commands/node.go
@@ -103,7 +103,7 @@
 		return nil, err
 	}
 	deps := node.Deps{
-		Log: t.Log, Pool: wire.NewPool(nil), Server: server, Rand: newRand(), Place: s.place(), Seeds: s.seeds(),
+		Log: t.Log, Pool: wire.NewPool(nil), Server: server, Rand: newRand(), Place: s.place(), Regions: s.Regions, Seeds: s.seeds(),
 		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Size: s.size(), Retry: s.retry(), Quota: s.quota(),
 		LeaveNotice: leaveNotice,
 		Interface: node.Interface{
--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -19,6 +19,9 @@
 	Name string `json:"name"`
 	// Place is the data centre that the node runs in.
 	Place string `json:"place"`
+	// Regions holds the region of each data centre. If it is empty, any data centre that a
+	// node or an upstream names can be evacuated.
+	Regions fleet.Regions `json:"regions"`
 	// Listen is the address for callers, Ready the address for the balancer's
 	// readiness probes, API the address for operators and upstreams, Internal the
 	// address for the system's own processes.
@@ -79,6 +82,11 @@
 	if s.Place == "" {
 		ps.Add("place", "is required")
 	}
+	for place, region := range s.Regions {
+		if place == "" || region == "" {
+			ps.Add("regions", "names of places and regions must not be empty")
+		}
+	}
 	if !s.Listen.IsValid() {
 		ps.Add("listen", "is required")
 	}
--- a/core/gossip/machine.go
+++ b/core/gossip/machine.go
@@ -59,6 +59,7 @@
 	peers               *Store[fleet.NodeID, fleet.Peer]
 	upstreams           *Store[string, fleet.Upstream]
 	quarantines         quarantines
+	evacuations         fleet.Evacuations
 	partners            map[fleet.NodeID]*partner
 	peerHeartbeatAt     map[fleet.NodeID]time.Time
 	upstreamHeartbeatAt map[string]time.Time
@@ -70,7 +71,7 @@
 	// for them.
 	resyncAt time.Time
 	resync   bool
-	// version increases with each change of the upstreams, peers or quarantines.
+	// version increases with each change of the upstreams, peers, quarantines or evacuations.
 	version uint64
 	// reportedVersion is the version that the driver last read.
 	reportedVersion uint64
@@ -129,7 +130,7 @@
 	return m.peers.Put(p.ID, p, source)
 }
 
-// Version returns a number that increases whenever quarantines change, or peers or
+// Version returns a number that increases whenever quarantines or evacuations change, or peers or
 // upstreams in more than their heartbeat counters.
 func (m *Machine) Version() uint64 {
 	m.reportedVersion = m.version
@@ -260,7 +261,7 @@
 	return Delta{
 		Upto: m.clock, Peers: m.peers.Since(since, to), Beats: m.beatsSince(since, to),
 		Upstreams: m.upstreams.Since(since, to), UpstreamBeats: m.upstreamBeatsSince(since, to),
-		Quarantines: m.quarantines.since(now, since, to),
+		Quarantines: m.quarantines.since(now, since, to), Evacuations: m.evacuations,
 	}
 }
 
@@ -295,6 +296,7 @@
 		m.putUpstream(now, u, from.ID)
 	}
 	m.mergeUpstreamBeats(now, from.ID, d.UpstreamBeats)
+	m.putEvacuations(d.Evacuations)
 	for _, q := range d.Quarantines {
 		if m.quarantines.put(now, q, from.ID) {
 			m.version++
--- a/core/gossip/message.go
+++ b/core/gossip/message.go
@@ -31,4 +31,6 @@
 	// UpstreamBeats are the counters of the upstreams of which nothing else has changed.
 	UpstreamBeats Beats
 	Quarantines   []fleet.Quarantine
+	// Evacuations are the evacuated places, in every delta.
+	Evacuations fleet.Evacuations
 }
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -100,6 +100,9 @@
 	// candidates, atHome and homes are buffers that each decision reuses.
 	candidates, atHome []candidate
 	homes              []home
+	// evacuated are the evacuated places, and regions the regions of the places.
+	evacuated fleet.Evacuations
+	regions   fleet.Regions
 }
 
 // New returns a balancer without upstreams, for a node in the given place.
@@ -126,7 +129,7 @@
 		t.up = u
 		next[u.ID] = t
 		b.byHash[t.hash] = t
-		if u.State == fleet.UpstreamReady && !t.leaving {
+		if t.open(b.evacuated) {
 			b.services[u.Service] = append(b.services[u.Service], t)
 		}
 	}
--- a/core/sched/limit_test.go
+++ b/core/sched/limit_test.go
@@ -136,14 +136,14 @@
 	s.name(1, limitSimUpstreams)
 	s.run(4*time.Second, 10*time.Millisecond)
 	is.True(s.run(4*time.Second, 10*time.Millisecond) >= 400-limitSimUpstreams*11) // the users' bound
-	opening, ok := s.nodes[0].OpensIn(s.now, "model")
+	opening, ok := s.nodes[0].OpensIn(s.now, sched.Query{Service: "model"})
 	is.True(ok)
 	is.True(opening.In > 0 && opening.In <= 5*time.Second)
 	is.True(!opening.Paused)
 	clear(s.limits)
 	s.run(opening.In+4*time.Second, 10*time.Millisecond)
 	is.Equal(s.run(time.Second, 10*time.Millisecond), 0)
-	_, limited := s.nodes[0].OpensIn(s.now, "model")
+	_, limited := s.nodes[0].OpensIn(s.now, sched.Query{Service: "model"})
 	is.True(!limited)
 }
 
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -31,7 +31,7 @@
 		ranks = maxHomeCandidates
 	}
 	for _, t := range list {
-		if t.avoided(now) != avoided || now.Before(t.pausedUntil) || slices.Contains(q.Exclude, t.up.ID) {
+		if t.avoided(now) != avoided || now.Before(t.pausedUntil) || !b.inRegions(t, q) || slices.Contains(q.Exclude, t.up.ID) {
 			continue
 		}
 		if t.limiter.opensIn(now, b.share) > 0 {
--- a/core/sched/signals.go
+++ b/core/sched/signals.go
@@ -78,10 +78,13 @@
 	Paused bool
 }
 
-// OpensIn returns the first time at which an upstream of the service that gets no requests now
-// may get one again. ok is false if there is no such upstream.
-func (b *Balancer) OpensIn(now time.Time, service string) (first Opening, ok bool) {
-	for _, t := range b.services[service] {
+// OpensIn returns the first time at which an upstream that may get the request, but gets none
+// now, may get one again. ok is false if there is no such upstream.
+func (b *Balancer) OpensIn(now time.Time, q Query) (first Opening, ok bool) {
+	for _, t := range b.services[q.Service] {
+		if !b.inRegions(t, q) {
+			continue
+		}
 		o := Opening{In: t.limiter.opensIn(now, b.share)}
 		if pause := t.pausedUntil.Sub(now); pause > o.In {
 			o = Opening{In: pause, Paused: true}
--- a/core/sched/signals_test.go
+++ b/core/sched/signals_test.go
@@ -82,7 +82,7 @@
 	just := now.Add(2499 * time.Millisecond)
 	is.Equal(pickOf(a, just, 20)[id], 0)
 	is.Equal(pickOf(other, just, 20)[id], 0)
-	_, paused := a.OpensIn(just, "desk")
+	_, paused := a.OpensIn(just, sched.Query{Service: "desk"})
 	is.True(paused)
 	for _, up := range upstreams("desk", 2) {
 		if up.ID == id {
@@ -104,7 +104,7 @@
 		b.Pause(start, c, time.Duration(i+1)*time.Hour)
 	}
 	is.Equal(pickOf(b, start.Add(time.Minute), 5), map[string]int{"": 5})
-	opening, ok := b.OpensIn(start.Add(time.Minute), "desk")
+	opening, ok := b.OpensIn(start.Add(time.Minute), sched.Query{Service: "desk"})
 	is.True(ok)
 	is.Equal(opening, sched.Opening{In: sched.MaxPause - time.Minute, Paused: true})
 	is.Equal(pickOf(b, start.Add(sched.MaxPause), 4)[""], 0)
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -64,6 +64,8 @@
 	// pausedUntil is the time until which the upstream wants no requests from this node, and
 	// avoidUntil the time until which it wants none from another node.
 	pausedUntil, avoidUntil time.Time
+	// returnedAt is when an evacuation of its place was withdrawn; zero if none was.
+	returnedAt time.Time
 }
 
 // Engine describes the upstreams of a service.
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -36,6 +36,7 @@
 	Publish   *Publish          `cbor:"publish,omitempty"`
 	Quota     *quota.Statement  `cbor:"quota,omitempty"`
 	EndHolder *quota.Ending     `cbor:"end_holder,omitempty"`
+	Evacuate  *Evacuate         `cbor:"evacuate,omitempty"`
 }
 
 // EndsHolder reports whether the command may end a holder of prepaid budgets.
@@ -104,6 +105,10 @@
 	// NotRecorded is set if a statement was not recorded and the holder that it replaces
 	// must be assessed again.
 	NotRecorded bool
+	// Evacuations are the evacuated places after an Evacuate. InForce is unset if the order was
+	// outdated and changed nothing.
+	Evacuations fleet.Evacuations
+	InForce     bool
 	// Ended is set if the statement came from a holder that has been ended.
 	Ended bool
 	Err   error
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -29,6 +29,8 @@
 	// Policy is the routing policy in force. Its number is 0 before the first one.
 	Policy Published     `cbor:"policy"`
 	Quota  *quota.Ledger `cbor:"quota"`
+	// Evacuations are the places that the operators have evacuated.
+	Evacuations EvacuationState `cbor:"evacuations"`
 
 	// doc is the document joined from Config. It is not part of a snapshot.
 	doc config.Document
@@ -83,6 +85,9 @@
 		return m.recordStatement(c.timestamp(), *c.Quota)
 	case c.EndHolder != nil:
 		m.Quota.End(*c.EndHolder)
+	case c.Evacuate != nil:
+		inForce := m.evacuate(*c.Evacuate)
+		return Result{Evacuations: m.Evacuations.Evacuations, InForce: inForce}
 	case c.Retire != "":
 		m.Ledger.Retire(c.Retire)
 	default:
--- a/io/ctrl/bench_test.go
+++ b/io/ctrl/bench_test.go
@@ -26,19 +26,36 @@
 	return client, pool
 }
 
-// startClosable also returns the host, which may be closed early.
-func startClosable(b testing.TB) (*ctrl.Host, *ctrl.Client, *wire.Pool) {
+func listen(b testing.TB) *wire.Server {
 	b.Helper()
-	dir := b.TempDir()
 	srv, err := wire.Listen(wire.Params{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Log: zap.NewNop()})
 	if err != nil {
 		b.Fatal(err)
 	}
+	return srv
+}
+
+// startClosable also returns the host, which may be closed early.
+func startClosable(b testing.TB) (*ctrl.Host, *ctrl.Client, *wire.Pool) {
+	b.Helper()
+	return startIn(b, b.TempDir())
+}
+
+// startIn starts a control group of one host with a new data folder at dir.
+func startIn(b testing.TB, dir string) (*ctrl.Host, *ctrl.Client, *wire.Pool) {
+	b.Helper()
+	srv := listen(b)
 	id := disk.Identity{Member: 1}
 	first := raft.Bootstrap(raft.Member{ID: 1, Addr: srv.Addr()}).Snapshot
 	if err := disk.Create(disk.OS(), dir, id, first); err != nil {
 		b.Fatal(err)
 	}
+	return serveFolder(b, dir, srv)
+}
+
+// serveFolder starts the host of an existing data folder.
+func serveFolder(b testing.TB, dir string, srv *wire.Server) (*ctrl.Host, *ctrl.Client, *wire.Pool) {
+	b.Helper()
 	store, id, saved, err := disk.Open(disk.OS(), dir)
 	if err != nil {
 		b.Fatal(err)
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -54,6 +54,8 @@
 	Replace bool
 	// OnPolicy is called on the loop with each routing policy that comes into force.
 	OnPolicy func(state.Published)
+	// OnEvacuations is called on the loop with each change of the evacuated places.
+	OnEvacuations func(fleet.Evacuations)
 	// Fatal is called once the disk has failed. The host must be closed then.
 	Fatal func(error)
 }
@@ -127,6 +129,9 @@
 	if h.deps.OnPolicy == nil {
 		h.deps.OnPolicy = func(state.Published) {}
 	}
+	if h.deps.OnEvacuations == nil {
+		h.deps.OnEvacuations = func(fleet.Evacuations) {}
+	}
 	if err := h.restore(deps.Saved.Snapshot); err != nil {
 		return nil, err
 	}
@@ -155,6 +160,7 @@
 		return trace.Wrap(err)
 	}
 	h.deps.OnPolicy(h.state.Policy)
+	h.deps.OnEvacuations(h.state.Evacuations.Evacuations)
 	return nil
 }
 
@@ -248,7 +254,7 @@
 }
 
 func (h *Host) apply(out raft.Output) {
-	before := h.state.Policy.Number
+	before, evacuations := h.state.Policy.Number, h.state.Evacuations.Number
 	for _, e := range out.Committed {
 		h.applied = e.Index
 		h.sinceSnapshot += len(e.Data)
@@ -268,6 +274,9 @@
 	if h.state.Policy.Number > before {
 		h.deps.OnPolicy(h.state.Policy)
 	}
+	if h.state.Evacuations.Number > evacuations {
+		h.deps.OnEvacuations(h.state.Evacuations.Evacuations)
+	}
 }
 
 func (h *Host) applyCommand(e raft.Entry) state.Result {
--- a/io/ctrl/policy.go
+++ b/io/ctrl/policy.go
@@ -31,7 +31,7 @@
 	return enough
 }
 
-// Policy returns the routing policy in force, confirmed by a quorum.
+// Policy returns the routing policy in force and the evacuated places, confirmed by a quorum.
 func (s *Service) Policy(args *wire.PolicyArgs, reply *wire.PolicyReply) error {
 	h, err := s.running()
 	if err != nil {
@@ -40,7 +40,8 @@
 	if reply.Hint = h.confirmLeadership(); reply.NotLeader {
 		return nil
 	}
-	if !h.onLoop(func(time.Time) { reply.Policy = h.state.Policy }) {
+	ok := h.onLoop(func(time.Time) { reply.Policy, reply.Evacuations = h.state.Policy, h.state.Evacuations.Evacuations })
+	if !ok {
 		reply.NotLeader = true
 		return nil
 	}
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -229,7 +229,10 @@
 // noChoiceError returns the error response of a request for which no upstream could be
 // chosen; last is that of its latest attempt.
 func (c *call) noChoiceError(last *responseError) *responseError {
-	opening, ok := c.f.opensIn(c.service.Name)
+	if failure := c.barredError(); failure != nil && last == errNoUpstream {
+		return failure
+	}
+	opening, ok := c.f.opensIn(c.query())
 	if !ok || last != errNoUpstream {
 		return last
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -45,6 +45,7 @@
 	Listener net.Listener
 	Dialect  Dialect
 	Place    fleet.Place
+	Regions  fleet.Regions
 	Budgets  Budgets
 	Conns    *conns.Pool
 	Sched    sched.Options
@@ -92,6 +93,7 @@
 		deps: deps, log: deps.Log, balancer: sched.New(deps.Sched, deps.Place),
 		retries: map[string]*sched.RetryBudget{}, metrics: newMetrics(),
 	}
+	f.balancer.SetRegions(deps.Regions)
 	f.guard = newGuard(f)
 	f.warned = newWarnings(f.log)
 	connections := newCallers(deps.MaxCallers)
@@ -246,12 +248,12 @@
 	f.balancer.FirstToken(c, took)
 }
 
-// opensIn returns when an upstream of the service that gets no requests now may get one
+// opensIn returns when an upstream that may get the request, but gets none now, may get one
 // again; ok is false if there is none.
-func (f *Front) opensIn(service string) (o sched.Opening, ok bool) {
+func (f *Front) opensIn(q sched.Query) (o sched.Opening, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.balancer.OpensIn(time.Now(), service)
+	return f.balancer.OpensIn(time.Now(), q)
 }
 
 func (f *Front) recordEnd(c sched.Choice, o sched.Outcome) {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -206,6 +206,21 @@
 	return m.machine.Quarantines(time.Now())
 }
 
+// SetEvacuations replicates the evacuated places, unless newer ones are known.
+func (m *Mesh) SetEvacuations(e fleet.Evacuations) {
+	m.mu.Lock()
+	m.machine.SetEvacuations(e)
+	m.mu.Unlock()
+	m.wake()
+}
+
+// Evacuations returns the evacuated places that this node knows of.
+func (m *Mesh) Evacuations() fleet.Evacuations {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Evacuations()
+}
+
 // Alive returns the live nodes, including this one.
 func (m *Mesh) Alive() []fleet.Peer {
 	m.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -42,8 +42,10 @@
 	Pool   *wire.Pool
 	Server *wire.Server
 	// Rand is used by the node only. Its parts get sources of their own.
-	Rand      *rand.Rand
-	Place     fleet.Place
+	Rand  *rand.Rand
+	Place fleet.Place
+	// Regions holds the region of each place that the settings name.
+	Regions   fleet.Regions
 	Interface Interface
 	// Callers, API and Ready are the listeners. API and Ready may be nil.
 	Callers, API, Ready net.Listener
@@ -109,7 +111,7 @@
 	}
 	_, maxCallers := conns.Shares()
 	n.front = front.Start(front.Deps{
-		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
+		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place, Regions: deps.Regions,
 		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
 		LeaveNotice: deps.LeaveNotice, MaxCallers: maxCallers,
 		Broadcast:  func(u sched.Update) { n.updates.enqueue(u) },
@@ -201,6 +203,7 @@
 		addrs[u.Addr] = true
 	}
 	n.front.SetUpstreams(ups)
+	n.front.SetEvacuations(n.mesh.Evacuations())
 	n.conns.Sweep(time.Now(), func(addr netip.AddrPort) bool { return addrs[addr] })
 	n.front.ApplyQuarantines(n.mesh.Quarantines())
 	select {
--- a/io/node/policy.go
+++ b/io/node/policy.go
@@ -96,6 +96,7 @@
 	n.front.SetPolicy(policy.Compile(decoded))
 	n.budgets.setCustomers(decoded.Prepaid())
 	n.mesh.Update(true, func(self *fleet.Peer) { self.Policy = p.Number })
+	n.warnUnknownRegions(decoded)
 	n.log.Info("node: policy in force", zap.Uint64("policy", p.Number), zap.Int("routes", len(decoded.Routes)))
 }
 
@@ -122,7 +123,8 @@
 	}
 }
 
-// quorumPolicy returns the policy in force, confirmed by a quorum.
+// quorumPolicy returns the policy in force, confirmed by a quorum, and applies the evacuations
+// that come with it.
 func (n *Node) quorumPolicy(ctx context.Context) (state.Published, error) {
 	have := n.published.Load()
 	args := wire.PolicyArgs{}
@@ -133,6 +135,7 @@
 	if err != nil {
 		return state.Published{}, err
 	}
+	n.applyEvacuations(reply.Evacuations)
 	if have != nil && reply.Policy.Number == have.Number {
 		return *have, nil
 	}
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -152,10 +152,20 @@
 	Have uint64
 }
 
-// PolicyReply contains the routing policy in force.
+// EvacuateReply is the reply to an order to evacuate a place, or to end that.
+type EvacuateReply struct {
+	Hint
+	// Evacuations are the evacuated places after the order. InForce is unset if the order was
+	// outdated and changed nothing.
+	Evacuations fleet.Evacuations
+	InForce     bool
+}
+
+// PolicyReply contains the routing policy in force and the evacuated places.
 type PolicyReply struct {
 	Hint
-	Policy state.Published
+	Policy      state.Published
+	Evacuations fleet.Evacuations
 }
 
 // QuotaReply is the reply to a holder's statement.
--- a/review/tools/world.go
+++ b/review/tools/world.go
@@ -159,7 +159,7 @@
 		"{{node_name}}", n.name, "{{zone}}", "sialkot", "{{listen.front}}", addr(p.front),
 		"{{listen.ready}}", addr(p.ready), "{{listen.control}}", addr(p.control), "{{ip}}", n.ip,
 		"{{internal_ports.0}}", fmt.Sprint(p.internal), "{{seeds|json}}", "["+strings.Join(seeds, ",")+"]",
-		"{{bootstrap|json}}", fmt.Sprint(n.bootstrap), "{{tolerate.machines}}", "1", "{{tolerate.zones}}", "0",
+		"{{zones|json}}", `{"sialkot":"punjab"}`, "{{bootstrap|json}}", fmt.Sprint(n.bootstrap), "{{tolerate.machines}}", "1", "{{tolerate.zones}}", "0",
 		"{{tolerate.regions}}", "0", "{{limits.memory_mb}}", "284", "{{bounds.grace_s}}", "8",
 		"{{bounds.budget_ratio}}", "0.2", "{{bounds.budget_burst}}", "58", "{{bounds.budget_window_s}}", "10",
 	).Replace(text)
