Learn the speed of a service's engines, and tell other nodes their slowdowns

Cause: a node took all engines for the same at first (30,000 tokens/s), and found out by itself how much slower each one is, from first tokens that mixed speed, queue and health.

Change: the overhead and the time per token of a service are estimated from all its first tokens, on a logarithmic scale with bounded steps. An engine's slowdown is relative to them, takes nothing from estimates that are mostly wait, and each update on a placement carries the latest one that its sender saw.

--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -90,6 +90,8 @@
 	targets  map[string]*target
 	byHash   map[uint64]*target
 	services map[string][]*target
+	// speeds are those of the services.
+	speeds map[string]*speed
 	// tieBreak rotates the choice among equally loaded upstreams.
 	tieBreak uint64
 	// share is the share of an upstream's limit that the nodes in contact with this one may
@@ -107,6 +109,7 @@
 	return &Balancer{
 		opts: opts, place: place, share: 1,
 		targets: map[string]*target{}, byHash: map[uint64]*target{}, services: map[string][]*target{},
+		speeds: map[string]*speed{},
 	}
 }
 
@@ -120,7 +123,7 @@
 	for _, u := range ups {
 		t, ok := b.targets[u.ID]
 		if !ok || !t.up.Born.Equal(u.Born) || t.up.Addr != u.Addr {
-			t = newTarget(u)
+			t = newTarget(u, b.speed(u.Service))
 		}
 		t.setEngine(engine(u.Service))
 		t.up = u
@@ -133,6 +136,16 @@
 	b.targets = next
 }
 
+// speed returns the speed of the engines of a service.
+func (b *Balancer) speed(service string) *speed {
+	s, ok := b.speeds[service]
+	if !ok {
+		s = newSpeed()
+		b.speeds[service] = s
+	}
+	return s
+}
+
 // Ready returns the number of upstreams of a service that accept requests.
 func (b *Balancer) Ready(service string) int { return len(b.services[service]) }
 
@@ -161,7 +174,8 @@
 	if len(q.Parts) > maxUpdateParts {
 		return c, u, t.limiter != nil
 	}
-	u.Uncached, u.Parts = c.Uncached, q.Parts
+	u.Uncached, u.Parts, u.Slowdown = c.Uncached, q.Parts, t.evidence
+	t.evidence = 0
 	return c, u, true
 }
 
@@ -172,7 +186,10 @@
 		return
 	}
 	t.clearPending(c.Ticket)
-	t.observe(prefillOverhead+c.Wait+t.prefillTime(c.Uncached), took)
+	if c.Fetched == 0 {
+		t.speed.observe(c.Uncached+c.waitTokens, took)
+	}
+	t.observe(t.overhead()+t.prefillTime(c.Uncached), c.Wait, took)
 }
 
 // Ended records the outcome of an attempt. It returns the update for the other nodes;
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -48,7 +48,7 @@
 	}
 	if !sticky {
 		t := b.leastLoaded(now)
-		return Choice{Upstream: t.up, InFlight: t.inFlight, Usable: len(b.candidates), Rank: -1, Slowdown: t.slowdown}, closed, true
+		return Choice{Upstream: t.up, InFlight: t.inFlight, Usable: len(b.candidates), Rank: -1, Slowdown: t.slowdown.value}, closed, true
 	}
 	usable := len(b.candidates)
 	if len(list) > fullScanLimit {
@@ -146,12 +146,12 @@
 		i := (begin + n) % len(candidates)
 		c := &candidates[i]
 		c.fetchFrom(source, least)
-		first := c.t.wait(now) + c.t.prefillTime(c.uncached) + c.fetchTime()
+		first := c.t.overhead() + c.t.wait(now) + c.t.prefillTime(c.uncached) + c.fetchTime()
 		cost := first + time.Duration(b.opts.RecomputeWeight*float64(c.t.prefillTime(c.uncached-least)+c.fetchTime())) +
 			time.Duration(c.rank)*b.opts.HomeBonus +
-			time.Duration(b.opts.LateWeight*float64(b.lateBy(q, prefillOverhead+first)))
+			time.Duration(b.opts.LateWeight*float64(b.lateBy(q, first)))
 		if c.t.limiter.exceeds(now, b.share) {
-			cost += max(b.opts.LimitCost-fullPrefillTime(q.Input), 0)
+			cost += max(b.opts.LimitCost-c.t.speed.prefillTime(q.Input), 0)
 		}
 		if cost < bestCost {
 			best, bestCost = i, cost
@@ -159,9 +159,10 @@
 	}
 	c := candidates[best]
 	chosen := Choice{
-		Upstream: c.t.up, InFlight: c.t.inFlight, Rank: c.rank, Uncached: c.uncached, Wait: c.t.wait(now), Slowdown: c.t.slowdown,
-		Prefill: c.t.prefillTime(c.uncached) + c.fetchTime(),
+		Upstream: c.t.up, InFlight: c.t.inFlight, Rank: c.rank, Uncached: c.uncached, Wait: c.t.wait(now), Slowdown: c.t.slowdown.value,
+		Prefill: c.t.prefillTime(c.uncached) + c.fetchTime(), Overhead: c.t.overhead(),
 	}
+	chosen.waitTokens = c.t.speed.tokens(time.Duration(float64(chosen.Wait) / c.t.slowdown.value))
 	if c.fetched > 0 {
 		chosen.Source, chosen.Fetched = source.up, c.fetched
 	}
@@ -214,11 +215,6 @@
 	return fetchOverhead + time.Duration(c.fetched)*c.t.engine.FetchPerToken
 }
 
-// fullPrefillTime returns the usual time to prefill a prompt of which nothing is cached.
-func fullPrefillTime(input int) time.Duration {
-	return time.Duration(input) * time.Second / prefillRate
-}
-
 // mix mixes the bits of a hash, with the finalizer of SplitMix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -74,12 +74,15 @@
 	Rank int
 	// Uncached is the number of prompt tokens that the upstream has to prefill, Wait
 	// the time until it has prefilled the prompts before this one, Prefill the time to
-	// prefill this one, and Slowdown the factor by which the upstream is slower than usual.
-	// All four are estimates.
+	// prefill this one, Overhead the rest of the time to the first token, and Slowdown the factor by which the upstream is slower than usual.
+	// All five are estimates.
 	Uncached int
 	Wait     time.Duration
 	Prefill  time.Duration
+	Overhead time.Duration
 	Slowdown float64
+	// waitTokens is the number of tokens that the upstream prefills before.
+	waitTokens int
 	// Source is the upstream from which the engine is to fetch the cached tokens that it lacks,
 	// Fetched their number; 0 if there is no source. Uncached does not include them.
 	Source  Upstream
@@ -94,4 +97,4 @@
 }
 
 // firstTokenIn returns the estimated time to the first token.
-func (c Choice) firstTokenIn() time.Duration { return prefillOverhead + c.Wait + c.Prefill }
+func (c Choice) firstTokenIn() time.Duration { return c.Overhead + c.Wait + c.Prefill }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -211,6 +212,9 @@
 	switch u.Kind {
 	case sched.Placement:
 		u.Uncached = rapid.IntRange(0, 1<<20).Draw(t, "uncached")
+		if rapid.Bool().Draw(t, "observed") {
+			u.Slowdown = math.Exp2(float64(rapid.IntRange(-32, 64).Draw(t, "slowdown")) / 16)
+		}
 		for range rapid.IntRange(0, 5).Draw(t, "parts") {
 			u.Parts = append(u.Parts, sched.PartKey{Key: rapid.Uint64().Draw(t, "key"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
 		}
--- /dev/null
+++ b/core/sched/speed.go
@@ -0,0 +1,84 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+// speed estimates how long the engines of a service take to their first tokens. An engine's own
+// slowdown is relative to it.
+type speed struct {
+	// overhead is the part of the time to the first token that does not depend on the length of
+	// the prompt, and perToken the time to prefill one token, both in seconds.
+	overhead, perToken center
+}
+
+// Initial estimates for a service that has not been observed yet.
+const (
+	// initialRate is the number of prompt tokens that an engine prefills per second.
+	initialRate     = 30_000
+	initialOverhead = 50 * time.Millisecond
+)
+
+// Which first tokens an estimate is taken from.
+const (
+	// longPrompt is the least number of tokens to prefill, with those of the prompts before, from
+	// which the time per token is estimated, and shortPrompt the most from which the overhead is.
+	longPrompt, shortPrompt = 1500, 300
+	// leastOverhead and leastPerToken bound the estimates, in seconds.
+	leastOverhead, leastPerToken = 0.002, 1e-7
+)
+
+func newSpeed() *speed {
+	return &speed{overhead: newCenter(initialOverhead.Seconds(), speedMemory), perToken: newCenter(1.0/initialRate, speedMemory)}
+}
+
+// observe takes the time to a first token into account. tokens is the estimated number that the
+// engine had to prefill, with those of the prompts before.
+func (s *speed) observe(tokens int, took time.Duration) {
+	switch t := took.Seconds(); {
+	case tokens <= shortPrompt:
+		s.overhead.observe(max(t-s.perToken.value*float64(tokens), leastOverhead))
+	case tokens >= longPrompt:
+		s.perToken.observe(max((t-s.overhead.value)/float64(tokens), leastPerToken))
+	}
+}
+
+// tokens returns the number of tokens that are usually prefilled in a time.
+func (s *speed) tokens(d time.Duration) int { return int(d.Seconds() / s.perToken.value) }
+
+// prefillTime returns the usual time to prefill tokens.
+func (s *speed) prefillTime(tokens int) time.Duration {
+	return seconds(s.perToken.value * float64(tokens))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// center estimates the center of positive samples on a logarithmic scale. A sample moves it by a
+// bounded step, so that single ones that are far off count little.
+type center struct {
+	value float64
+	// n is the number of samples that value stands for, at most memory.
+	n, memory int
+}
+
+func newCenter(initial float64, memory int) center {
+	return center{value: initial, n: centerPrior, memory: memory}
+}
+
+// Parameters of a center.
+const (
+	// centerPrior is the number of samples that the initial value counts for.
+	centerPrior = 3
+	// speedMemory and slowdownMemory are the numbers of samples after which earlier ones are
+	// forgotten. The slowdown follows what happens to one engine.
+	speedMemory, slowdownMemory = 50, 12
+	// centerStep is the logarithm of the largest factor that a sample counts as.
+	centerStep = 1.0
+)
+
+func (c *center) observe(x float64) {
+	c.n = min(c.n+1, c.memory)
+	step := min(max(math.Log(x/c.value), -centerStep), centerStep)
+	c.value *= math.Exp(step / float64(c.n))
+}
--- /dev/null
+++ b/core/sched/speed_test.go
@@ -0,0 +1,96 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelgap/core/sched"
+
+	"github.com/matryer/is"
+)
+
+// speedSim is a fleet of nodes before engines of different speeds. Each request finds its engine
+// idle.
+type speedSim struct {
+	nodes []*sched.Balancer
+	// perToken is the time to prefill a token, and slow the factor of the engines that are slow.
+	perToken time.Duration
+	slow     map[string]float64
+	now      time.Time
+	requests int
+}
+
+const simOverhead = 60 * time.Millisecond
+
+func newSpeedSim(nodes, engines int, perToken time.Duration, slow map[string]float64) *speedSim {
+	s := &speedSim{perToken: perToken, slow: slow, now: start}
+	for range nodes {
+		s.nodes = append(s.nodes, newBalancer(engines))
+	}
+	return s
+}
+
+// request sends a prompt that shares nothing and returns the choice and the time to its first
+// token. late makes the engine take that many times as long.
+func (s *speedSim) request(late float64) (sched.Choice, time.Duration) {
+	s.requests++
+	s.now = s.now.Add(100 * time.Millisecond)
+	from := s.nodes[s.requests%len(s.nodes)]
+	q := prompt(fmt.Sprint("p-", s.requests), fmt.Sprint("s-", s.requests), "r")
+	c, _ := from.Pick(s.now, q)
+	c, u, _ := from.Started(s.now, q, c)
+	for _, n := range s.nodes {
+		if n != from {
+			n.OnUpdate(s.now, u)
+		}
+	}
+	factor := s.slow[c.Upstream.ID]
+	if factor == 0 {
+		factor = 1
+	}
+	took := time.Duration(late * factor * float64(simOverhead+s.perToken*time.Duration(c.Uncached)))
+	from.FirstToken(c, took)
+	from.Ended(s.now, c, sched.Served)
+	return c, took
+}
+
+// Guards against estimates that stay at their initial values: engines that prefill three times as
+// fast are known as that, also those that have had no request yet and if one response in seven
+// takes 2.5 times as long.
+func TestSpeedOfAServiceIsLearned(t *testing.T) {
+	is := is.New(t)
+	s := newSpeedSim(1, 60, 11*time.Microsecond, nil)
+	seen := map[string]bool{}
+	checked := 0
+	for i := range 60 {
+		late := 1.0
+		if i%7 == 0 {
+			late = 2.5
+		}
+		c, took := s.request(late)
+		if estimate := c.Overhead + c.Wait + c.Prefill; i >= 30 && late == 1 && !seen[c.Upstream.ID] {
+			is.True(estimate < took*13/10)
+			is.True(estimate > took*7/10)
+			checked++
+		}
+		seen[c.Upstream.ID] = true
+	}
+	is.True(checked >= 5)
+}
+
+// Guards against a slow engine that each node has to find out by itself: a few requests of all
+// nodes together suffice for each of them to send it less than the others.
+func TestSlowEngineIsKnownToAllNodes(t *testing.T) {
+	is := is.New(t)
+	s := newSpeedSim(30, 4, 11*time.Microsecond, map[string]float64{"model-0": 2.2})
+	for range 60 {
+		s.request(1)
+	}
+	sent := map[string]int{}
+	for range 40 {
+		c, _ := s.request(1)
+		sent[c.Upstream.ID]++
+	}
+	is.True(sent["model-0"] < 40/4/2)
+}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -12,13 +12,8 @@
 // Upstream is an upstream that requests may be sent to.
 type Upstream = fleet.Upstream
 
-// Initial estimates for an engine that has not been observed yet.
+// Estimates of an engine's cache.
 const (
-	// prefillRate is the number of prompt tokens that an engine prefills per second.
-	prefillRate = 30_000
-	// prefillOverhead is the part of the time to first token that does not depend on
-	// the length of the prompt.
-	prefillOverhead = 50 * time.Millisecond
 	// defaultCacheTokens is the assumed size of an engine's prompt cache if the policy
 	// does not set one.
 	defaultCacheTokens = 200_000
@@ -28,8 +23,8 @@
 
 // Parameters for estimating an upstream's slowdown.
 const (
-	slowdownGain = 0.2
-	maxSlowdown  = 20.0
+	minSlowdown = 0.25
+	maxSlowdown = 20.0
 	// minFirstToken is the time to first token below which the slowdown is not updated,
 	// because noise dominates.
 	minFirstToken = 30 * time.Millisecond
@@ -48,9 +43,13 @@
 	// sent to it, as of workAt. It shrinks as time passes.
 	work   time.Duration
 	workAt time.Time
-	// slowdown is the factor by which first tokens take longer than the initial
-	// estimates predict.
-	slowdown float64
+	// speed is that of the engines of the service, and slowdown the factor by which first tokens
+	// of this engine take longer.
+	speed    *speed
+	slowdown center
+	// evidence is the slowdown that the latest first token at this node showed, until the other
+	// nodes are told; 0 if there is none.
+	evidence float64
 	// pending holds the requests of this node that wait for their first token.
 	pending    []pendingToken
 	lastTicket uint64
@@ -80,8 +79,8 @@
 	FetchPerToken time.Duration
 }
 
-func newTarget(u Upstream) *target {
-	return &target{up: u, hash: xxhash.Sum64String(u.ID), cache: newCache(defaultCacheTokens), slowdown: 1}
+func newTarget(u Upstream, s *speed) *target {
+	return &target{up: u, hash: xxhash.Sum64String(u.ID), cache: newCache(defaultCacheTokens), speed: s, slowdown: newCenter(1, slowdownMemory)}
 }
 
 // setEngine sets the description of the engine, which may become known after the engine itself.
@@ -137,7 +136,15 @@
 
 // prefillTime returns the estimated time that the engine takes to prefill tokens.
 func (t *target) prefillTime(tokens int) time.Duration {
-	return time.Duration(t.slowdown * float64(tokens) / prefillRate * float64(time.Second))
+	return t.slowed(t.speed.prefillTime(tokens))
+}
+
+// overhead returns the estimated part of the time to a first token that does not depend on the
+// length of the prompt.
+func (t *target) overhead() time.Duration { return t.slowed(seconds(t.speed.overhead.value)) }
+
+func (t *target) slowed(d time.Duration) time.Duration {
+	return time.Duration(t.slowdown.value * float64(d))
 }
 
 // recordPlacement records that a prompt was sent to the engine.
@@ -147,12 +154,14 @@
 	t.cache.use(parts)
 }
 
-// observe updates the slowdown from an observed time to first token.
-func (t *target) observe(expected, took time.Duration) {
-	if took < minFirstToken && expected < minFirstToken {
+// observe updates the slowdown from the time to a first token. idle is the estimate of it without
+// the prompts before, and wait the estimated time for those. An estimate that is mostly wait says
+// little about the engine.
+func (t *target) observe(idle, wait, took time.Duration) {
+	if took < minFirstToken && idle+wait < minFirstToken || wait > idle {
 		return
 	}
-	ratio := float64(took) / float64(max(expected, minFirstToken))
-	ratio = min(max(ratio, 1/maxSlowdown), maxSlowdown)
-	t.slowdown = min(max(t.slowdown*(1+slowdownGain*(ratio-1)), 0.3), maxSlowdown)
+	ratio := float64(took) / float64(max(idle+wait, minFirstToken))
+	t.evidence = min(max(t.slowdown.value*ratio, minSlowdown), maxSlowdown)
+	t.slowdown.observe(t.evidence)
 }
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"dotterelgap/core/codec"
@@ -33,6 +34,9 @@
 	// placement of a prompt with these parts.
 	Uncached int
 	Parts    []PartKey
+	// Slowdown is the slowdown of the upstream that the sender's latest first token showed; 0 if
+	// there was none since its latest update.
+	Slowdown float64
 	// Limit is the limit that the upstream names.
 	Limit RateLimit
 	// Pause is how long the upstream wants no requests.
@@ -61,6 +65,7 @@
 }
 
 func (u Update) appendPlacement(b []byte) []byte {
+	b = binary.AppendUvarint(b, encodeSlowdown(u.Slowdown))
 	b = binary.AppendUvarint(b, uint64(u.Uncached))
 	b = binary.AppendUvarint(b, uint64(len(u.Parts)))
 	for _, p := range u.Parts {
@@ -89,6 +94,7 @@
 }
 
 func (u Update) parsePlacement(r *codec.Reader) (Update, bool) {
+	u.Slowdown = decodeSlowdown(r.Count())
 	u.Uncached = r.Count()
 	parts := r.Count()
 	if !r.OK() || parts > maxUpdateParts {
@@ -115,6 +121,27 @@
 	return RateLimit{Named: true, PerSecond: float64(n-1) * limitUnit}
 }
 
+// Slowdowns are encoded on a logarithmic scale, with slowdownSteps steps for a factor of 2 and 1
+// as slowdownOne. 0 stands for none.
+const (
+	slowdownSteps = 16
+	slowdownOne   = 128
+)
+
+func encodeSlowdown(s float64) uint64 {
+	if !(s > 0) {
+		return 0
+	}
+	return uint64(min(max(math.Round(slowdownOne+slowdownSteps*math.Log2(s)), 1), 2*slowdownOne))
+}
+
+func decodeSlowdown(n int) float64 {
+	if n == 0 {
+		return 0
+	}
+	return min(max(math.Exp2((float64(n)-slowdownOne)/slowdownSteps), minSlowdown), maxSlowdown)
+}
+
 // OnUpdate applies an update from another node.
 func (b *Balancer) OnUpdate(now time.Time, u Update) {
 	t, ok := b.byHash[u.Upstream]
@@ -129,6 +156,9 @@
 	case Paused:
 		t.avoidUntil = now.Add(u.Pause)
 	case Placement:
+		if u.Slowdown > 0 {
+			t.slowdown.observe(u.Slowdown)
+		}
 		t.recordPlacement(now, u.Parts, u.Uncached)
 		t.limiter.sent(now, b.share)
 	}
