--- a/io/front/call.go
+++ b/io/front/call.go
@@ -300,7 +300,10 @@
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
 func (c *call) target(u fleet.Upstream) Target {
-	t := Target{Upstream: u, Customer: c.customer, TimeLeft: c.timeLeft(), Source: c.choice.Source.Addr}
+	t := Target{
+		Upstream: u, Customer: c.customer, Engine: c.service.Engine != nil, Rank: c.rank(),
+		TimeLeft: c.timeLeft(), Source: c.choice.Source.Addr,
+	}
 	if c.stream != nil {
 		t.LastEventID = c.stream.lastID
 	}
--- a/io/front/dialect.go
+++ b/io/front/dialect.go
@@ -51,6 +51,10 @@
 type Target struct {
 	Upstream fleet.Upstream
 	Customer string
+	// Engine is set if the upstream is a model engine, and Rank is the request's priority; 0 is
+	// the most urgent.
+	Engine bool
+	Rank   int
 	// Source is the address of the engine from which Upstream is to fetch cached tokens, if it
 	// is valid.
 	Source netip.AddrPort
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -60,7 +60,10 @@
 			t.Deadline, _ = time.ParseDuration(h.Get("Wait"))
 			return t
 		},
-		SetHeaders: func(h http.Header, to front.Target) { h.Set("Customer", to.Customer) },
+		SetHeaders: func(h http.Header, to front.Target) {
+			h.Set("Customer", to.Customer)
+			h.Set("Rank", fmt.Sprint(to.Engine, to.Rank))
+		},
 		NotRun:     func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
 		Signals:    func(int, http.Header) sched.Signals { return sched.Signals{} },
 	}
