--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -64,8 +64,8 @@
 			h.Set("Customer", to.Customer)
 			h.Set("Rank", fmt.Sprint(to.Engine, to.Rank))
 		},
-		NotRun:     func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
-		Signals:    func(int, http.Header) sched.Signals { return sched.Signals{} },
+		NotRun:  func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
+		Signals: func(int, http.Header) sched.Signals { return sched.Signals{} },
 	}
 }
 
