Queue requests for business services, and count the places that all nodes take there

Change: core/admit, a bounded queue with an order by starvation, rank, fair share, and time left; sched counts others' requests until they are expected to have ended, learns each upstream's service time, and is corrected by rejections; io/front drives it. The setting admission is off by default.

--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -49,7 +49,10 @@
 	RetryRatio  float64        `json:"retry_ratio"`
 	RetryBurst  float64        `json:"retry_burst"`
 	RetryWindow parse.Duration `json:"retry_window"`
-	LogLevel    string         `json:"log_level"`
+	// Admission is set if requests for services without prompts wait for a place at their
+	// upstreams, in order of priority, and are rejected early if they would be late.
+	Admission bool   `json:"admission"`
+	LogLevel  string `json:"log_level"`
 }
 
 // Limits of a node's settings.
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -73,6 +73,9 @@
 	// EjectShare is the maximum share of a service's upstreams that may be ejected at
 	// the same time.
 	EjectShare float64
+	// SharePlaces is set if the nodes tell each other of requests without prompts, so that each
+	// knows which places of the upstreams are taken.
+	SharePlaces bool
 }
 
 // DefaultOptions returns the options that nodes use.
@@ -154,7 +157,8 @@
 	t.limiter.sent(now, b.share)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
-		return c, u, t.limiter != nil
+		c.sent = sent{at: now, load: t.load(now)}
+		return c, u, t.limiter != nil || b.opts.SharePlaces
 	}
 	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
@@ -184,6 +188,9 @@
 	}
 	t.clearPending(c.Ticket)
 	t.inFlight = max(t.inFlight-1, 0)
+	if b.opts.SharePlaces && !c.sent.at.IsZero() {
+		t.recordPlace(now, c.sent, o)
+	}
 	switch o {
 	case Served:
 		b.recent <<= 1
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -231,6 +231,9 @@
 // leastLoaded returns the candidate with the fewest requests in flight, among those below
 // their limits if there are any. It breaks ties in round-robin order.
 func (b *Balancer) leastLoaded(now time.Time) *target {
+	if b.opts.SharePlaces {
+		return b.soonest(now)
+	}
 	b.tieBreak++
 	start := int(b.tieBreak % uint64(len(b.candidates)))
 	var best *target
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -86,6 +86,8 @@
 	Fetched int
 	// Ticket identifies the pending first token; 0 if none is expected.
 	Ticket uint64
+	// sent is the upstream's state when the request was sent, if it has no prompts.
+	sent sent
 }
 
 // Overdue reports whether the first token should have arrived after this time.
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -55,6 +55,8 @@
 	pending    []pendingToken
 	lastTicket uint64
 	health     health
+	// places counts what is in flight at an upstream without prompts.
+	places places
 	// limiter is nil while the upstream names no limit.
 	limiter *limiter
 	// ejectedUntil is the time until which the upstream is ejected.
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -131,5 +131,8 @@
 	case Placement:
 		t.recordPlacement(now, u.Parts, u.Uncached)
 		t.limiter.sent(now, b.share)
+		if b.opts.SharePlaces && len(u.Parts) == 0 {
+			t.placedByOther(now)
+		}
 	}
 }
--- /dev/null
+++ b/io/front/admit_test.go
@@ -0,0 +1,171 @@
+package front_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelgap/core/fleet"
+	"dotterelgap/core/poison"
+	"dotterelgap/core/policy"
+	"dotterelgap/core/sched"
+	"dotterelgap/io/conns"
+	"dotterelgap/io/front"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// desk is a front with admission before an upstream with one place, of which each request ends
+// when the test lets it.
+type desk struct {
+	front   *front.Front
+	url     string
+	arrived chan string
+	finish  chan struct{}
+}
+
+func startDesk(t *testing.T) *desk {
+	t.Helper()
+	d := &desk{arrived: make(chan string, 10), finish: make(chan struct{})}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.arrived <- r.Header.Get("Id")
+		<-d.finish
+		w.Header().Set("Id", r.Header.Get("Id"))
+	}))
+	t.Cleanup(s.Close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := conns.NewPool(conns.DefaultOptions())
+	d.url = "http://" + ln.Addr().String()
+	d.front = front.Start(front.Deps{
+		Log: zap.NewNop(), Listener: ln, Dialect: dialect(), Budgets: &fakeBudgets{done: make(chan struct{}, 10)}, Conns: pool,
+		Sched: sched.DefaultOptions(), Retry: front.RetryOptions{Ratio: 0.2, Burst: retryBurst, Window: 10 * time.Second},
+		LeaveNotice: leaveNotice, Admission: true, Broadcast: func(sched.Update) {}, Report: func(poison.Report) {},
+		Leaving: func(fleet.Upstream) {}, Quarantine: func(fleet.Quarantine) {},
+	})
+	t.Cleanup(func() {
+		close(d.finish)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := errors.Join(d.front.Close(ctx), pool.Close()); err != nil {
+			t.Error(err)
+		}
+	})
+	d.front.SetPolicy(policy.Compile(&policy.Policy{
+		Number: 1,
+		Routes: []policy.Route{{
+			Name: "pay", Host: "h.example", Prefix: "/pay/", Kind: policy.Once, Timeout: 30 * time.Second, Objective: 16 * time.Second,
+			Split: []policy.Share{{Service: "pay", Weight: 1}}, Attempts: 1, Public: true,
+		}},
+		Services: []policy.Service{{Name: "pay"}},
+	}))
+	addr := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	d.front.SetUpstreams([]fleet.Upstream{{ID: "i-1", Service: "pay", Addr: addr, Slots: 1}})
+	return d
+}
+
+// ask sends a request and returns the status of its response, and the Retry-After.
+func (d *desk) ask(ctx context.Context, id, wait string) (status int, retryAfter string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url+"/pay/a", strings.NewReader("body"))
+	if err != nil {
+		panic(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Id", id)
+	req.Header.Set("Wait", wait)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode, resp.Header.Get("Retry-After")
+}
+
+// fill has the place and the queue of the upstream taken.
+func (d *desk) fill(t *testing.T, statuses chan int) {
+	for range 2 {
+		go func() {
+			status, _ := d.ask(context.WithoutCancel(t.Context()), "first", "20s")
+			statuses <- status
+		}()
+		<-d.arrived
+	}
+}
+
+// Guards against a request that is sent although the places are taken, that isn't sent once one
+// is free, and that holds its place in the queue after its caller has left.
+func TestWaitsForPlace(t *testing.T) {
+	is := is.New(t)
+	d := startDesk(t)
+	statuses := make(chan int, 4)
+	d.fill(t, statuses)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		status, _ := d.ask(ctx, "leaves", "20s")
+		statuses <- status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	is.Equal(<-statuses, 0)
+	go func() {
+		status, _ := d.ask(t.Context(), "waits", "20s")
+		statuses <- status
+	}()
+	select {
+	case id := <-d.arrived:
+		t.Fatalf("%s was sent though no place is free", id)
+	case <-time.After(200 * time.Millisecond):
+	}
+	d.finish <- struct{}{}
+	is.Equal(<-statuses, 200)
+	is.Equal(<-d.arrived, "waits")
+	d.finish <- struct{}{}
+	d.finish <- struct{}{}
+	is.Equal(<-statuses, 200)
+	is.Equal(<-statuses, 200)
+}
+
+// Guards against a request that is held although it can't be served: it is rejected with a time
+// to return, after an eighth of the time that its caller has, and isn't sent.
+func TestRejectedEarly(t *testing.T) {
+	is := is.New(t)
+	d := startDesk(t)
+	d.fill(t, make(chan int, 2))
+	began := time.Now()
+	status, retryAfter := d.ask(t.Context(), "late", "2s")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(retryAfter != "")
+	is.True(time.Since(began) < 500*time.Millisecond)
+	is.Equal(len(d.arrived), 0)
+}
+
+// Guards against a node that stops while requests wait: they are rejected at once.
+func TestStopRejectsWaiting(t *testing.T) {
+	is := is.New(t)
+	d := startDesk(t)
+	statuses := make(chan int, 3)
+	d.fill(t, statuses)
+	waiting := make(chan int, 1)
+	go func() {
+		status, _ := d.ask(t.Context(), "waits", "20s")
+		waiting <- status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	closed := make(chan error, 1)
+	go func() { closed <- d.front.Close(context.WithoutCancel(t.Context())) }()
+	is.Equal(<-waiting, http.StatusServiceUnavailable)
+	d.finish <- struct{}{}
+	d.finish <- struct{}{}
+	is.NoErr(<-closed)
+}
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -49,6 +49,7 @@
 	// reserveTook is how long the reservation of tokens took.
 	reserveTook time.Duration
 	attempts    attemptLog
+	admitted    admitted
 	parts       []sched.PartKey
 	// shared are the keys of the prompt's parts without the request's own part.
 	shared []uint64
@@ -189,6 +190,10 @@
 // forward sends the request to one upstream after another until one serves it or no
 // other attempt is allowed.
 func (c *call) forward(ctx context.Context) *responseError {
+	if failure := c.admit(ctx); failure != nil {
+		return failure
+	}
+	defer c.placeTaken()
 	last := errNoUpstream
 	runs := 0
 	for range maxUpstreams {
@@ -245,6 +250,7 @@
 // tryUpstream makes one attempt at the chosen upstream and records its result.
 func (c *call) tryUpstream(ctx context.Context, choice sched.Choice) attemptResult {
 	u := choice.Upstream
+	c.placeTaken()
 	began := time.Now()
 	c.tried = append(c.tried, u.ID)
 	c.choice, c.sentAt = choice, began
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -34,6 +34,7 @@
 	errUpstreamLimited = &responseError{status: http.StatusServiceUnavailable, code: "upstream_limited", retryAfter: 300 * time.Millisecond}
 	errUpstreamPaused  = &responseError{status: http.StatusServiceUnavailable, code: "upstream_paused", retryAfter: 300 * time.Millisecond}
 	errUpstreamFull    = &responseError{status: http.StatusServiceUnavailable, code: "upstream_full", retryAfter: 300 * time.Millisecond}
+	errNotAdmitted     = &responseError{status: http.StatusServiceUnavailable, code: "not_admitted"}
 	errInDoubt         = &responseError{status: http.StatusBadGateway, code: "in_doubt"}
 	errTimeout         = &responseError{status: http.StatusGatewayTimeout, code: "timeout"}
 )
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -62,6 +62,9 @@
 	LeaveNotice time.Duration
 	// MaxCallers limits the connections of callers; 0 means no limit.
 	MaxCallers int
+	// Admission is set if requests for services without prompts wait for a place at their
+	// upstreams, or are rejected early.
+	Admission bool
 }
 
 // Front serves callers and forwards their requests to upstreams.
@@ -84,14 +87,19 @@
 	balancer *sched.Balancer
 	retries  map[string]*sched.RetryBudget
 	entries  sched.Entries
+	// admission is nil if all requests are admitted.
+	admission *admission
 }
 
 // Start serves callers on the listener until Close.
 func Start(deps Deps) *Front {
 	f := &Front{
-		deps: deps, log: deps.Log, balancer: sched.New(deps.Sched, deps.Place),
+		deps: deps, log: deps.Log, balancer: sched.New(deps.schedOptions(), deps.Place),
 		retries: map[string]*sched.RetryBudget{}, metrics: newMetrics(),
 	}
+	if deps.Admission {
+		f.admission = newAdmission(f)
+	}
 	f.guard = newGuard(f)
 	f.warned = newWarnings(f.log)
 	connections := newCallers(deps.MaxCallers)
@@ -110,6 +118,13 @@
 	return f
 }
 
+// schedOptions returns the options of the balancer.
+func (d Deps) schedOptions() sched.Options {
+	opts := d.Sched
+	opts.SharePlaces = opts.SharePlaces || d.Admission
+	return opts
+}
+
 // SetPolicy puts a policy in force, unless the one in force has the same or a
 // higher number.
 func (f *Front) SetPolicy(t *policy.Table) {
@@ -169,6 +184,7 @@
 // once all of them are settled, with an error if any was aborted.
 func (f *Front) Close(ctx context.Context) error {
 	f.leaving.Store(true)
+	f.stopWaiting()
 	t := time.NewTimer(f.deps.LeaveNotice)
 	defer t.Stop()
 	select {
@@ -260,4 +276,5 @@
 	if n, send := f.balancer.Ended(time.Now(), c, o); send {
 		f.deps.Broadcast(n)
 	}
+	f.admission.advance(c.Upstream.Service)
 }
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -20,6 +20,9 @@
 	attempts    metric.Int64Counter
 	tokens      metric.Int64Counter
 	quarantines metric.Int64Counter
+	waiting     metric.Int64UpDownCounter
+	rejected    metric.Int64Counter
+	waited      metric.Float64Histogram
 	firstByte   metric.Float64Histogram
 	duration    metric.Float64Histogram
 }
@@ -30,6 +33,9 @@
 		attempts: telem.Counter("front", "front_attempts", "Attempts at upstreams by how they ended."),
 		quarantines: telem.Counter("front", "front_quarantines",
 			"Quarantines of prompt parts that this node began or lifted."),
+		waiting:   telem.UpDown("front", "front_waiting", "Requests that wait for a place at an upstream."),
+		rejected:  telem.Counter("front", "front_not_admitted", "Requests that admission rejected, by reason."),
+		waited:    telem.Seconds("front", "front_wait_seconds", "Time that requests waited for a place at an upstream."),
 		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed."),
 		firstByte: telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
 		duration:  telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
@@ -60,6 +66,18 @@
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", o.String())))
 }
 
+// addWaiting adds to the number of requests that wait for a place.
+func (m *metrics) addWaiting(n int64) { m.waiting.Add(context.Background(), n) }
+
+// countAdmission records what admission decided on a request.
+func (m *metrics) countAdmission(a admitted) {
+	ctx := context.Background()
+	m.waited.Record(ctx, a.waited.Seconds())
+	if a.decision.Action == sched.Reject {
+		m.rejected.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", string(a.decision.Reason))))
+	}
+}
+
 // countQuarantine records a quarantine that this node began or lifted.
 func (m *metrics) countQuarantine(q fleet.Quarantine) {
 	change := "began"
--- a/io/front/trail.go
+++ b/io/front/trail.go
@@ -84,6 +84,12 @@
 	if c.reserveTook > 0 {
 		fields = append(fields, zap.Duration("reserve_took", c.reserveTook.Round(time.Millisecond)))
 	}
+	if c.admitted.asked {
+		fields = append(fields, zap.Duration("waited", c.admitted.waited.Round(time.Millisecond)))
+	}
+	if c.admitted.decision.Reason != "" {
+		fields = append(fields, zap.String("reason", string(c.admitted.decision.Reason)))
+	}
 	if len(c.attempts) > 0 {
 		fields = append(fields, zap.Array("attempts", c.attempts))
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -57,6 +57,8 @@
 	Size  int
 	Retry front.RetryOptions
 	Quota quota.Options
+	// Admission is set if requests wait for places at their upstreams; see front.Deps.
+	Admission bool
 	// LeaveNotice is how long a node that shuts down keeps serving, so that the load
 	// balancer detects that it is not ready.
 	LeaveNotice time.Duration
@@ -111,7 +113,7 @@
 	n.front = front.Start(front.Deps{
 		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
 		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
-		LeaveNotice: deps.LeaveNotice, MaxCallers: maxCallers,
+		LeaveNotice: deps.LeaveNotice, MaxCallers: maxCallers, Admission: deps.Admission,
 		Broadcast:  func(u sched.Update) { n.updates.enqueue(u) },
 		Report:     func(r poison.Report) { n.updates.enqueue(r) },
 		Leaving:    func(u fleet.Upstream) { n.mesh.Drain(u) },
--- a/io/telem/counter.go
+++ b/io/telem/counter.go
@@ -17,6 +17,15 @@
 	return c
 }
 
+// UpDown returns a counter that may also decrease.
+func UpDown(part, name, help string) metric.Int64UpDownCounter {
+	c, err := otel.Meter("dotterelgap/"+part).Int64UpDownCounter(name, metric.WithDescription(help))
+	if err != nil {
+		otel.Handle(err)
+	}
+	return c
+}
+
 // Seconds returns a histogram of durations. Its buckets suit the time to the first token
 // and to the complete response.
 func Seconds(part, name, help string) metric.Float64Histogram {
