--- a/io/front/call.go
+++ b/io/front/call.go
@@ -211,7 +211,7 @@
 		}
 		choice, ok := c.f.pick(c.query())
 		if !ok {
-			return c.noChoiceError(last)
+			return c.noPickError(choice, last)
 		}
 		res := c.tryUpstream(ctx, choice)
 		if res.final {
