Spread the return of rejected callers within the time that they still wait

Cause: callers follow a Retry-After only up to a third of the time that they have left, so those with a deadline of 600 ms would all return after 200 ms.

Change: the spread ends at a third of the deadline.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -33,9 +33,11 @@
 	// maxUrgentShare bounds the part of the places that more urgent requests are expected to take.
 	maxUrgentShare = 0.9
 	// minRetryAfter is the shortest Retry-After, and retrySpread the least time over which
-	// callers that were rejected together return.
-	minRetryAfter = 200 * time.Millisecond
-	retrySpread   = 700 * time.Millisecond
+	// callers that were rejected together return, but for maxReturnShare of the deadline: callers
+	// do not wait for longer.
+	minRetryAfter  = 100 * time.Millisecond
+	retrySpread    = 700 * time.Millisecond
+	maxReturnShare = 1.0 / 3
 	// minRecheck and maxRecheck bound the time until the queue is to be advanced again.
 	minRecheck, maxRecheck = 2 * time.Millisecond, 25 * time.Millisecond
 )
@@ -191,11 +193,12 @@
 }
 
 // reject returns the decision to reject a request. Callers return when what waits is expected to
-// have been served, spread by their ids over as long again.
+// have been served, spread by their ids over as long again while they still wait for it.
 func (q *Queue) reject(w *waiter, room sched.Room, reason sched.Reason) sched.Decision {
 	drained := room.Next + time.Duration(len(q.waiting))*room.Interval
-	spread := max(drained, retrySpread)
-	after := max(drained, minRetryAfter) + time.Duration(w.req.ID%uint64(spread))
+	after := max(drained, minRetryAfter)
+	spread := max(min(max(drained, retrySpread), scale(w.req.Deadline, maxReturnShare)-after), 1)
+	after += time.Duration(w.req.ID % uint64(spread))
 	return sched.Decision{Action: sched.Reject, After: after, Reason: reason}
 }
 
