--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -73,6 +73,9 @@
 	// EjectShare is the maximum share of a service's upstreams that may be ejected at
 	// the same time.
 	EjectShare float64
+	// SharePlaces is set if the nodes tell each other of requests without prompts, so that each
+	// knows which places of the upstreams are taken.
+	SharePlaces bool
 }
 
 // DefaultOptions returns the options that nodes use.
@@ -92,6 +95,9 @@
 	services map[string][]*target
 	// speeds are those of the services.
 	speeds map[string]*speed
+	// loads holds the loads of services without prompts by name, and loadByHash by the hash of it.
+	loads      map[string]*serviceLoad
+	loadByHash map[uint64]*serviceLoad
 	// tieBreak rotates the choice among equally loaded upstreams.
 	tieBreak uint64
 	// share is the share of an upstream's limit that the nodes in contact with this one may
@@ -111,6 +117,7 @@
 func New(opts Options, place fleet.Place) *Balancer {
 	return &Balancer{
 		opts: opts, place: place, share: 1,
+		loads: map[string]*serviceLoad{}, loadByHash: map[uint64]*serviceLoad{},
 		targets: map[string]*target{}, byHash: map[uint64]*target{}, services: map[string][]*target{},
 		speeds: map[string]*speed{},
 	}
@@ -137,6 +144,8 @@
 		}
 	}
 	b.targets = next
+	b.keepLoads()
+	b.keepSpeeds()
 }
 
 // speed returns the speed of the engines of a service.
@@ -149,6 +158,15 @@
 	return s
 }
 
+// keepSpeeds keeps the speeds of the services that have upstreams.
+func (b *Balancer) keepSpeeds() {
+	next := make(map[string]*speed, len(b.services))
+	for _, t := range b.targets {
+		next[t.up.Service] = t.speed
+	}
+	b.speeds = next
+}
+
 // Ready returns the number of upstreams of a service that accept requests.
 func (b *Balancer) Ready(service string) int { return len(b.services[service]) }
 
@@ -170,7 +188,13 @@
 	t.limiter.sent(now, b.share)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
-		return c, u, t.limiter != nil
+		if !b.opts.SharePlaces {
+			return c, u, t.limiter != nil
+		}
+		c.sent = sent{at: now, load: t.load(now)}
+		l := b.loads[t.up.Service]
+		l.change(now, 1)
+		return c, Update{Kind: Occupied, Upstream: t.hash, Occupies: t.places.occupied}, b.crowded(now, l, t.up.Service) || t.limiter != nil
 	}
 	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
@@ -198,12 +222,18 @@
 // Ended records the outcome of an attempt. It returns the update for the other nodes;
 // send is false if there is none.
 func (b *Balancer) Ended(now time.Time, c Choice, o Outcome) (u Update, send bool) {
+	if !c.sent.at.IsZero() {
+		b.recordLoad(now, c.Upstream.Service, o)
+	}
 	t, ok := b.targets[c.Upstream.ID]
 	if !ok {
 		return Update{}, false
 	}
 	t.clearPending(c.Ticket)
 	t.inFlight = max(t.inFlight-1, 0)
+	if !c.sent.at.IsZero() {
+		t.recordPlace(now, c.sent, o)
+	}
 	switch o {
 	case Served:
 		b.recent <<= 1
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -21,6 +21,10 @@
 	NamedLimit
 	// Paused means that the upstream wants no requests from the sender for a time.
 	Paused
+	// Occupied means that a request without a prompt was sent to the upstream.
+	Occupied
+	// ServiceLoad tells the sender's average load of a service without prompts.
+	ServiceLoad
 )
 
 // Update tells other nodes that a request was placed on an upstream, that an upstream
@@ -28,7 +32,7 @@
 // upstreams' load, caches, health and limits. It is sent as a datagram and may be lost.
 type Update struct {
 	Kind UpdateKind
-	// Upstream is the hash of the upstream's id.
+	// Upstream is the hash of the upstream's id, or of the service's name for ServiceLoad.
 	Upstream uint64
 	// Uncached is the estimated number of tokens that the upstream has to prefill for a
 	// placement of a prompt with these parts.
@@ -37,6 +41,11 @@
 	// Slowdown is the slowdown of the upstream that the sender's latest first token showed; 0 if
 	// there was none since its latest update.
 	Slowdown float64
+	// Occupies is the estimated time for which a request without a prompt takes a place of the
+	// upstream; 0 if the sender does not know it.
+	Occupies time.Duration
+	// Load is the mean number of requests of the sender in flight.
+	Load float64
 	// Limit is the limit that the upstream names.
 	Limit RateLimit
 	// Pause is how long the upstream wants no requests.
@@ -46,6 +55,12 @@
 // maxUpdateParts is the maximum number of parts in one update.
 const maxUpdateParts = 64
 
+// occupiesUnit is the unit in which Occupies is encoded.
+const occupiesUnit = 100 * time.Microsecond
+
+// loadUnit is the unit in which a load is encoded.
+const loadUnit = 0.01
+
 // limitUnit is the unit in which limits are encoded, in requests per second.
 const limitUnit = 0.001
 
@@ -60,6 +75,10 @@
 		return binary.AppendUvarint(b, u.Limit.encode())
 	case Paused:
 		return binary.AppendUvarint(b, uint64(u.Pause.Milliseconds()))
+	case ServiceLoad:
+		return binary.AppendUvarint(b, uint64(min(u.Load/loadUnit+0.5, codec.MaxCount)))
+	case Occupied:
+		return binary.AppendUvarint(b, uint64(min(u.Occupies/occupiesUnit, codec.MaxCount)))
 	}
 	return b
 }
@@ -77,7 +96,7 @@
 
 // ParseUpdate decodes an update; ok is false if b is not an update or malformed.
 func ParseUpdate(b []byte) (u Update, ok bool) {
-	if len(b) == 0 || UpdateKind(b[0]) < Placement || UpdateKind(b[0]) > Paused {
+	if len(b) == 0 || UpdateKind(b[0]) < Placement || UpdateKind(b[0]) > ServiceLoad {
 		return Update{}, false
 	}
 	r := codec.NewReader(b[1:])
@@ -89,6 +108,10 @@
 		u.Limit = decodeLimit(r.Count())
 	case Paused:
 		u.Pause = min(time.Duration(r.Count())*time.Millisecond, MaxPause)
+	case ServiceLoad:
+		u.Load = float64(r.Count()) * loadUnit
+	case Occupied:
+		u.Occupies = time.Duration(r.Count()) * occupiesUnit
 	}
 	return u, r.OK()
 }
@@ -144,6 +167,12 @@
 
 // OnUpdate applies an update from another node.
 func (b *Balancer) OnUpdate(now time.Time, u Update) {
+	if u.Kind == ServiceLoad {
+		if l, ok := b.loadByHash[u.Upstream]; ok {
+			l.hear(now, u.Load)
+		}
+		return
+	}
 	t, ok := b.byHash[u.Upstream]
 	if !ok {
 		return
@@ -161,5 +190,8 @@
 		}
 		t.recordPlacement(now, u.Parts, u.Uncached)
 		t.limiter.sent(now, b.share)
+	case Occupied:
+		t.placedByOther(now, u.Occupies)
+		t.limiter.sent(now, b.share)
 	}
 }
