--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -20,6 +20,9 @@
 	Name string `json:"name"`
 	// Place is the data centre that the node runs in.
 	Place string `json:"place"`
+	// Regions holds the region of each data centre. If it is empty, any data centre that a
+	// node or an upstream names can be evacuated.
+	Regions fleet.Regions `json:"regions"`
 	// Listen is the address for callers, Ready the address for the balancer's
 	// readiness probes, API the address for operators and upstreams, Internal the
 	// address for the system's own processes.
@@ -55,8 +58,11 @@
 	ColdOverage float64 `json:"cold_overage"`
 	ColdBurst   float64 `json:"cold_burst"`
 	// Pace limits the requests to upstreams that have started or recovered.
-	Pace     bool   `json:"pace"`
-	LogLevel string `json:"log_level"`
+	Pace bool `json:"pace"`
+	// Admission is set if requests for services without prompts wait for a place at their
+	// upstreams, in order of priority, and are rejected early if they would be late.
+	Admission bool   `json:"admission"`
+	LogLevel  string `json:"log_level"`
 }
 
 // Limits of a node's settings.
@@ -89,6 +95,11 @@
 	if s.Place == "" {
 		ps.Add("place", "is required")
 	}
+	for place, region := range s.Regions {
+		if place == "" || region == "" {
+			ps.Add("regions", "names of places and regions must not be empty")
+		}
+	}
 	if !s.Listen.IsValid() {
 		ps.Add("listen", "is required")
 	}
--- a/core/gossip/message.go
+++ b/core/gossip/message.go
@@ -33,4 +33,6 @@
 	Quarantines   []fleet.Quarantine
 	// Sharers are all sharers that the sender knows, if the receiver has reported another set.
 	Sharers []fleet.Sharer
+	// Evacuations are the evacuated places, in every delta.
+	Evacuations fleet.Evacuations
 }
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -78,6 +78,9 @@
 	ColdOverage, ColdBurst float64
 	// Pace limits the requests to upstreams that have started or recovered.
 	Pace bool
+	// SharePlaces is set if the nodes tell each other of requests without prompts, so that each
+	// knows which places of the upstreams are taken.
+	SharePlaces bool
 }
 
 // DefaultOptions returns the options that nodes use.
@@ -96,6 +99,11 @@
 	targets  map[string]*target
 	byHash   map[uint64]*target
 	services map[string][]*target
+	// speeds are those of the services.
+	speeds map[string]*speed
+	// loads holds the loads of services without prompts by name, and loadByHash by the hash of it.
+	loads      map[string]*serviceLoad
+	loadByHash map[uint64]*serviceLoad
 	// tieBreak rotates the choice among equally loaded upstreams.
 	tieBreak uint64
 	// share is the share of an upstream's limit that the nodes in contact with this one may
@@ -118,13 +126,18 @@
 	// candidates, atHome and homes are buffers that each decision reuses.
 	candidates, atHome []candidate
 	homes              []home
+	// evacuated are the evacuated places, and regions the regions of the places.
+	evacuated fleet.Evacuations
+	regions   fleet.Regions
 }
 
 // New returns a balancer without upstreams, for a node in the given place.
 func New(opts Options, place fleet.Place) *Balancer {
 	return &Balancer{
 		opts: opts, place: place, share: 1,
+		loads: map[string]*serviceLoad{}, loadByHash: map[uint64]*serviceLoad{},
 		targets: map[string]*target{}, byHash: map[uint64]*target{}, services: map[string][]*target{},
+		speeds: map[string]*speed{},
 	}
 }
 
@@ -138,17 +151,38 @@
 	for _, u := range ups {
 		t, ok := b.targets[u.ID]
 		if !ok || !t.up.Born.Equal(u.Born) || t.up.Addr != u.Addr {
-			t = newTarget(u)
+			t = newTarget(u, b.speed(u.Service))
 		}
 		t.setEngine(engine(u.Service))
 		t.up = u
 		next[u.ID] = t
 		b.byHash[t.hash] = t
-		if u.State == fleet.UpstreamReady && !t.leaving {
+		if t.open(b.evacuated) {
 			b.services[u.Service] = append(b.services[u.Service], t)
 		}
 	}
 	b.targets = next
+	b.keepLoads()
+	b.keepSpeeds()
+}
+
+// speed returns the speed of the engines of a service.
+func (b *Balancer) speed(service string) *speed {
+	s, ok := b.speeds[service]
+	if !ok {
+		s = newSpeed()
+		b.speeds[service] = s
+	}
+	return s
+}
+
+// keepSpeeds keeps the speeds of the services that have upstreams.
+func (b *Balancer) keepSpeeds() {
+	next := make(map[string]*speed, len(b.services))
+	for _, t := range b.targets {
+		next[t.up.Service] = t.speed
+	}
+	b.speeds = next
 }
 
 // Ready returns the number of upstreams of a service that accept requests.
@@ -175,14 +209,21 @@
 	t.usual.sent(now)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
-		return c, u, t.limiter != nil
+		if !b.opts.SharePlaces {
+			return c, u, t.limiter != nil
+		}
+		c.sent = sent{at: now, load: t.load(now)}
+		l := b.loads[t.up.Service]
+		l.change(now, 1)
+		return c, Update{Kind: Occupied, Upstream: t.hash, Occupies: t.places.occupied}, b.crowded(now, l, t.up.Service) || t.limiter != nil
 	}
 	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
 	if len(q.Parts) > maxUpdateParts {
 		return c, u, t.limiter != nil
 	}
-	u.Uncached, u.Parts = c.Uncached, q.Parts
+	u.Uncached, u.Parts, u.Slowdown = c.Uncached, q.Parts, t.evidence
+	t.evidence = 0
 	return c, u, true
 }
 
@@ -193,12 +234,18 @@
 		return
 	}
 	t.clearPending(c.Ticket)
-	t.observe(prefillOverhead+c.Wait+t.prefillTime(c.Uncached), took)
+	if c.Fetched == 0 {
+		t.speed.observe(c.Uncached+c.waitTokens, took)
+	}
+	t.observe(t.overhead()+t.prefillTime(c.Uncached), c.Wait, took)
 }
 
 // Ended records the outcome of an attempt. It returns the update for the other nodes;
 // send is false if there is none.
 func (b *Balancer) Ended(now time.Time, c Choice, o Outcome) (u Update, send bool) {
+	if !c.sent.at.IsZero() {
+		b.recordLoad(now, c.Upstream.Service, o)
+	}
 	t, ok := b.targets[c.Upstream.ID]
 	if !ok {
 		return Update{}, false
@@ -206,6 +253,9 @@
 	t.clearPending(c.Ticket)
 	t.inFlight = max(t.inFlight-1, 0)
 	slowed, tell := t.endedPace(now, c, o)
+	if !c.sent.at.IsZero() {
+		t.recordPlace(now, c.sent, o)
+	}
 	switch o {
 	case Served:
 		b.recent <<= 1
--- a/core/sched/coldsim_test.go
+++ b/core/sched/coldsim_test.go
@@ -224,7 +224,7 @@
 	s.run(5 * time.Second)
 	_, ok := s.nodes[7].Pick(s.now, prompt("plan", "s", "r"))
 	is.True(!ok)
-	opening, ok := s.nodes[7].OpensIn(s.now, "model")
+	opening, ok := s.nodes[7].OpensIn(s.now, sched.Query{Service: "model"})
 	is.True(ok && opening.Paced && opening.In > 0)
 	clear(s.side)
 	s.run(15 * time.Second)
--- a/core/sched/pacing_test.go
+++ b/core/sched/pacing_test.go
@@ -165,7 +165,7 @@
 		sent++
 	}
 	is.True(sent >= 4 && sent <= 8) // one that is due and one more at each upstream
-	opening, ok := node.OpensIn(s.now, "desk")
+	opening, ok := node.OpensIn(s.now, sched.Query{Service: "desk"})
 	is.True(ok && opening.Paced && opening.In <= time.Second)
 	s.run(7*time.Second, 400)
 	before := s.rejected
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -74,18 +74,23 @@
 	Rank int
 	// Uncached is the number of prompt tokens that the upstream has to prefill, Wait
 	// the time until it has prefilled the prompts before this one, Prefill the time to
-	// prefill this one, and Slowdown the factor by which the upstream is slower than usual.
-	// All four are estimates.
+	// prefill this one, Overhead the rest of the time to the first token, and Slowdown the factor by which the upstream is slower than usual.
+	// All five are estimates.
 	Uncached int
 	Wait     time.Duration
 	Prefill  time.Duration
+	Overhead time.Duration
 	Slowdown float64
+	// waitTokens is the number of tokens that the upstream prefills before.
+	waitTokens int
 	// Source is the upstream from which the engine is to fetch the cached tokens that it lacks,
 	// Fetched their number; 0 if there is no source. Uncached does not include them.
 	Source  Upstream
 	Fetched int
 	// Ticket identifies the pending first token; 0 if none is expected.
 	Ticket uint64
+	// sent is the upstream's state when the request was sent, if it has no prompts.
+	sent sent
 }
 
 // Overdue reports whether the first token should have arrived after this time.
@@ -93,5 +98,15 @@
 	return waited > c.firstTokenIn()+overdueMargin
 }
 
+// TooLate returns how far the first token is expected after the request's deadline; 0 if it is in
+// time, or if this node has no request at the engine: one is then sent, so that the estimate is
+// corrected if it is wrong.
+func (c Choice) TooLate(q Query) time.Duration {
+	if c.Rank < 0 || c.InFlight == 0 || q.Deadline <= 0 {
+		return 0
+	}
+	return max(c.firstTokenIn()-q.Deadline, 0)
+}
+
 // firstTokenIn returns the estimated time to the first token.
-func (c Choice) firstTokenIn() time.Duration { return prefillOverhead + c.Wait + c.Prefill }
+func (c Choice) firstTokenIn() time.Duration { return c.Overhead + c.Wait + c.Prefill }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -206,16 +207,23 @@
 }
 
 func drawUpdate(t *rapid.T) sched.Update {
-	kinds := []sched.UpdateKind{sched.Placement, sched.Failure, sched.NamedLimit, sched.Paused, sched.Slowed}
+	kinds := []sched.UpdateKind{sched.Placement, sched.Failure, sched.NamedLimit, sched.Paused, sched.Occupied, sched.ServiceLoad, sched.Slowed}
 	u := sched.Update{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Upstream: rapid.Uint64().Draw(t, "upstream")}
 	switch u.Kind {
 	case sched.Placement:
 		u.Uncached = rapid.IntRange(0, 1<<20).Draw(t, "uncached")
+		if rapid.Bool().Draw(t, "observed") {
+			u.Slowdown = math.Exp2(float64(rapid.IntRange(-32, 64).Draw(t, "slowdown")) / 16)
+		}
 		for range rapid.IntRange(0, 5).Draw(t, "parts") {
 			u.Parts = append(u.Parts, sched.PartKey{Key: rapid.Uint64().Draw(t, "key"), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")})
 		}
 	case sched.Paused:
 		u.Pause = time.Duration(rapid.IntRange(0, int(sched.MaxPause.Milliseconds())).Draw(t, "pause")) * time.Millisecond
+	case sched.ServiceLoad:
+		u.Load = float64(rapid.IntRange(0, 10_000).Draw(t, "load")) * 0.01
+	case sched.Occupied:
+		u.Occupies = time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "occupies")) * 100 * time.Microsecond
 	case sched.NamedLimit:
 		u.Limit.Named = rapid.Bool().Draw(t, "named")
 		if u.Limit.Named {
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"dotterelgap/core/codec"
@@ -20,6 +21,10 @@
 	NamedLimit
 	// Paused means that the upstream wants no requests from the sender for a time.
 	Paused
+	// Occupied means that a request without a prompt was sent to the upstream.
+	Occupied
+	// ServiceLoad tells the sender's average load of a service without prompts.
+	ServiceLoad
 	// Slowed means that the upstream was late or rejected a request after it had started or
 	// recovered.
 	Slowed
@@ -30,12 +35,20 @@
 // upstreams' load, caches, health and limits. It is sent as a datagram and may be lost.
 type Update struct {
 	Kind UpdateKind
-	// Upstream is the hash of the upstream's id.
+	// Upstream is the hash of the upstream's id, or of the service's name for ServiceLoad.
 	Upstream uint64
 	// Uncached is the estimated number of tokens that the upstream has to prefill for a
 	// placement of a prompt with these parts.
 	Uncached int
 	Parts    []PartKey
+	// Slowdown is the slowdown of the upstream that the sender's latest first token showed; 0 if
+	// there was none since its latest update.
+	Slowdown float64
+	// Occupies is the estimated time for which a request without a prompt takes a place of the
+	// upstream; 0 if the sender does not know it.
+	Occupies time.Duration
+	// Load is the mean number of requests of the sender in flight.
+	Load float64
 	// Limit is the limit that the upstream names.
 	Limit RateLimit
 	// Pause is how long the upstream wants no requests.
@@ -45,6 +58,12 @@
 // maxUpdateParts is the maximum number of parts in one update.
 const maxUpdateParts = 64
 
+// occupiesUnit is the unit in which Occupies is encoded.
+const occupiesUnit = 100 * time.Microsecond
+
+// loadUnit is the unit in which a load is encoded.
+const loadUnit = 0.01
+
 // limitUnit is the unit in which limits are encoded, in requests per second.
 const limitUnit = 0.001
 
@@ -59,11 +78,16 @@
 		return binary.AppendUvarint(b, u.Limit.encode())
 	case Paused:
 		return binary.AppendUvarint(b, uint64(u.Pause.Milliseconds()))
+	case ServiceLoad:
+		return binary.AppendUvarint(b, uint64(min(u.Load/loadUnit+0.5, codec.MaxCount)))
+	case Occupied:
+		return binary.AppendUvarint(b, uint64(min(u.Occupies/occupiesUnit, codec.MaxCount)))
 	}
 	return b
 }
 
 func (u Update) appendPlacement(b []byte) []byte {
+	b = binary.AppendUvarint(b, encodeSlowdown(u.Slowdown))
 	b = binary.AppendUvarint(b, uint64(u.Uncached))
 	b = binary.AppendUvarint(b, uint64(len(u.Parts)))
 	for _, p := range u.Parts {
@@ -87,11 +111,16 @@
 		u.Limit = decodeLimit(r.Count())
 	case Paused:
 		u.Pause = min(time.Duration(r.Count())*time.Millisecond, MaxPause)
+	case ServiceLoad:
+		u.Load = float64(r.Count()) * loadUnit
+	case Occupied:
+		u.Occupies = time.Duration(r.Count()) * occupiesUnit
 	}
 	return u, r.OK()
 }
 
 func (u Update) parsePlacement(r *codec.Reader) (Update, bool) {
+	u.Slowdown = decodeSlowdown(r.Count())
 	u.Uncached = r.Count()
 	parts := r.Count()
 	if !r.OK() || parts > maxUpdateParts {
@@ -118,8 +147,35 @@
 	return RateLimit{Named: true, PerSecond: float64(n-1) * limitUnit}
 }
 
+// Slowdowns are encoded on a logarithmic scale, with slowdownSteps steps for a factor of 2 and 1
+// as slowdownOne. 0 stands for none.
+const (
+	slowdownSteps = 16
+	slowdownOne   = 128
+)
+
+func encodeSlowdown(s float64) uint64 {
+	if !(s > 0) {
+		return 0
+	}
+	return uint64(min(max(math.Round(slowdownOne+slowdownSteps*math.Log2(s)), 1), 2*slowdownOne))
+}
+
+func decodeSlowdown(n int) float64 {
+	if n == 0 {
+		return 0
+	}
+	return min(max(math.Exp2((float64(n)-slowdownOne)/slowdownSteps), minSlowdown), maxSlowdown)
+}
+
 // OnUpdate applies an update from another node.
 func (b *Balancer) OnUpdate(now time.Time, u Update) {
+	if u.Kind == ServiceLoad {
+		if l, ok := b.loadByHash[u.Upstream]; ok {
+			l.hear(now, u.Load)
+		}
+		return
+	}
 	t, ok := b.byHash[u.Upstream]
 	if !ok {
 		return
@@ -135,7 +191,13 @@
 	case Paused:
 		t.avoidUntil = now.Add(u.Pause)
 	case Placement:
+		if u.Slowdown > 0 {
+			t.slowdown.observe(u.Slowdown)
+		}
 		t.recordPlacement(now, u.Parts, u.Uncached)
 		t.limiter.sent(now, b.share)
+	case Occupied:
+		t.placedByOther(now, u.Occupies)
+		t.limiter.sent(now, b.share)
 	}
 }
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -49,6 +49,7 @@
 	// reserveTook is how long the reservation of tokens took.
 	reserveTook time.Duration
 	attempts    attemptLog
+	admitted    admitted
 	parts       []sched.PartKey
 	// shared are the keys of the prompt's parts without the request's own part.
 	shared []uint64
@@ -189,6 +190,10 @@
 // forward sends the request to one upstream after another until one serves it or no
 // other attempt is allowed.
 func (c *call) forward(ctx context.Context) *responseError {
+	if failure := c.admit(ctx); failure != nil {
+		return failure
+	}
+	defer c.placeTaken()
 	last := errNoUpstream
 	runs := 0
 	for range maxUpstreams {
@@ -206,7 +211,7 @@
 		}
 		choice, ok := c.f.pick(c.query())
 		if !ok {
-			return c.noChoiceError(last)
+			return c.noPickError(choice, last)
 		}
 		res := c.tryUpstream(ctx, choice)
 		if res.final {
@@ -229,7 +234,10 @@
 // noChoiceError returns the error response of a request for which no upstream could be
 // chosen; last is that of its latest attempt.
 func (c *call) noChoiceError(last *responseError) *responseError {
-	opening, ok := c.f.opensIn(c.service.Name)
+	if failure := c.barredError(); failure != nil && last == errNoUpstream {
+		return failure
+	}
+	opening, ok := c.f.opensIn(c.query())
 	if !ok || last != errNoUpstream {
 		return last
 	}
@@ -242,6 +250,7 @@
 // tryUpstream makes one attempt at the chosen upstream and records its result.
 func (c *call) tryUpstream(ctx context.Context, choice sched.Choice) attemptResult {
 	u := choice.Upstream
+	c.placeTaken()
 	began := time.Now()
 	c.tried = append(c.tried, u.ID)
 	c.choice, c.sentAt = choice, began
@@ -297,7 +306,10 @@
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
 func (c *call) target(u fleet.Upstream) Target {
-	t := Target{Upstream: u, Customer: c.customer, TimeLeft: c.timeLeft(), Source: c.choice.Source.Addr}
+	t := Target{
+		Upstream: u, Customer: c.customer, Engine: c.service.Engine != nil, Rank: c.rank(),
+		TimeLeft: c.timeLeft(), Source: c.choice.Source.Addr,
+	}
 	if c.stream != nil {
 		t.LastEventID = c.stream.lastID
 	}
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -35,6 +35,7 @@
 	errUpstreamPaused  = &responseError{status: http.StatusServiceUnavailable, code: "upstream_paused", retryAfter: 300 * time.Millisecond}
 	errUpstreamPaced   = &responseError{status: http.StatusServiceUnavailable, code: "upstream_paced", retryAfter: 300 * time.Millisecond}
 	errUpstreamFull    = &responseError{status: http.StatusServiceUnavailable, code: "upstream_full", retryAfter: 300 * time.Millisecond}
+	errNotAdmitted     = &responseError{status: http.StatusServiceUnavailable, code: "not_admitted"}
 	errInDoubt         = &responseError{status: http.StatusBadGateway, code: "in_doubt"}
 	errTimeout         = &responseError{status: http.StatusGatewayTimeout, code: "timeout"}
 )
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -22,6 +22,9 @@
 	quarantines metric.Int64Counter
 	heldBack    metric.Int64Counter
 	paced       metric.Int64Gauge
+	waiting     metric.Int64UpDownCounter
+	rejected    metric.Int64Counter
+	waited      metric.Float64Histogram
 	firstByte   metric.Float64Histogram
 	duration    metric.Float64Histogram
 }
@@ -34,6 +37,9 @@
 			"Quarantines of prompt parts that this node began or lifted."),
 		heldBack:  telem.Counter("front", "front_paced_requests", "Requests that found only upstreams that are paced."),
 		paced:     telem.Amount("front", "front_paced_upstreams", "Upstreams that are paced: cold, started or recovered lately."),
+		waiting:   telem.UpDown("front", "front_waiting", "Requests that wait for a place at an upstream."),
+		rejected:  telem.Counter("front", "front_not_admitted", "Requests that admission rejected, by reason."),
+		waited:    telem.Seconds("front", "front_wait_seconds", "Time that requests waited for a place at an upstream."),
 		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed."),
 		firstByte: telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
 		duration:  telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
@@ -64,6 +70,18 @@
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", o.String())))
 }
 
+// addWaiting adds to the number of requests that wait for a place.
+func (m *metrics) addWaiting(n int64) { m.waiting.Add(context.Background(), n) }
+
+// countAdmission records what admission decided on a request.
+func (m *metrics) countAdmission(a admitted) {
+	ctx := context.Background()
+	m.waited.Record(ctx, a.waited.Seconds())
+	if a.decision.Action == sched.Reject {
+		m.rejected.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", string(a.decision.Reason))))
+	}
+}
+
 // countQuarantine records a quarantine that this node began or lifted.
 func (m *metrics) countQuarantine(q fleet.Quarantine) {
 	change := "began"
