Bound requests for a business service only while it is crowded, and reject none for engines

Change: the rejection for engines is reverted. Loads are told as rates with the time of a request, and the balancer bounds nothing unless all loads together, an upstream's rejection, or the node's own requests say that the service is crowded. The tests of the front use requests without prompts.

--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -166,9 +166,8 @@
 			return c, u, t.limiter != nil
 		}
 		c.sent = sent{at: now, load: t.load(now)}
-		l := b.loads[t.up.Service]
-		l.change(now, 1)
-		return c, Update{Kind: Occupied, Upstream: t.hash, Occupies: t.places.occupied}, b.crowded(now, l, t.up.Service) || t.limiter != nil
+		b.loads[t.up.Service].began(now)
+		return c, Update{Kind: Occupied, Upstream: t.hash, Occupies: time.Duration(t.places.occupied)}, b.crowded(now, t.up.Service) || t.limiter != nil
 	}
 	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
@@ -203,6 +202,9 @@
 	t.inFlight = max(t.inFlight-1, 0)
 	if !c.sent.at.IsZero() {
 		t.recordPlace(now, c.sent, o)
+		if o == Served {
+			b.loads[t.up.Service].own.observe(t.uncrowded(now, c.sent))
+		}
 	}
 	switch o {
 	case Served:
--- a/core/sched/loads.go
+++ b/core/sched/loads.go
@@ -9,13 +9,14 @@
 
 // Parameters of what nodes tell each other of the load of a service without prompts.
 const (
-	// loadPeriod is the time over which a node's load is averaged and after which it tells it again.
+	// loadPeriod is the time over which a node's load is averaged, and after which it tells it again.
 	loadPeriod = time.Second
-	// minToldLoad is the load, in requests in flight, below which a node tells nothing.
-	minToldLoad = 0.05
+	// minToldRate is the rate in requests per second below which a node tells nothing.
+	minToldRate = 0.2
 	// crowdedShare is the part of the places of a service from which on nodes tell each other of each
 	// request. Below it requests hardly ever wait, and the datagrams would cost more than they gain.
-	crowdedShare = 0.5
+	// The load is estimated low, since an occupancy is.
+	crowdedShare = 0.35
 	// crowdedTime is how long nodes tell of each request after an upstream rejected one as full.
 	crowdedTime = time.Second
 	// maxToldLoads bounds the loads of other nodes that are remembered for one service.
@@ -25,80 +26,79 @@
 // serviceLoad is what a node knows of the load of a service without prompts.
 type serviceLoad struct {
 	hash uint64
-	// inFlight are this node's requests, area their sum over time since begin, and average their mean
-	// number in the period before.
-	inFlight int
-	area     float64
-	at       time.Time
-	begin    time.Time
-	average  float64
-	// told are the averages of other nodes.
+	// inFlight are this node's requests. sent counts those since begin, and rate is their number per
+	// second in the period before.
+	inFlight, sent int
+	begin          time.Time
+	rate           float64
+	// own is this node's estimate of the time of a request, and occupied that of all nodes.
+	own, occupied occupancy
+	// told are the rates of other nodes.
 	told []toldLoad
 	// fullUntil is the time until which the service counts as crowded because of a rejection.
 	fullUntil time.Time
 }
 
-// toldLoad is the average load of another node.
+// toldLoad is the rate of another node in requests per second.
 type toldLoad struct {
 	at   time.Time
-	load float64
+	rate float64
 }
 
-// change records that a request of this node began or ended.
-func (l *serviceLoad) change(now time.Time, by int) {
-	l.advance(now)
-	l.inFlight = max(l.inFlight+by, 0)
-}
-
-// advance adds the time since the latest change.
-func (l *serviceLoad) advance(now time.Time) {
+// began records that a request of this node is sent.
+func (l *serviceLoad) began(now time.Time) {
 	if l.begin.IsZero() {
-		l.begin, l.at = now, now
+		l.begin = now
 	}
-	l.area += float64(l.inFlight) * now.Sub(l.at).Seconds()
-	l.at = now
+	l.inFlight++
+	l.sent++
 }
 
 // tell returns the update on this node's load once a period is over.
 func (l *serviceLoad) tell(now time.Time) (u Update, send bool) {
-	l.advance(now)
 	period := now.Sub(l.begin)
-	if period < loadPeriod {
+	if l.begin.IsZero() || period < loadPeriod {
 		return Update{}, false
 	}
-	l.average = l.area / period.Seconds()
-	l.area, l.begin = 0, now
-	return Update{Kind: ServiceLoad, Upstream: l.hash, Load: l.average}, l.average >= minToldLoad
+	l.rate = float64(l.sent) / period.Seconds()
+	l.sent, l.begin = 0, now
+	l.occupied.observe(time.Duration(l.own))
+	return Update{Kind: ServiceLoad, Upstream: l.hash, Load: l.rate, Occupies: time.Duration(l.own)}, l.rate >= minToldRate
 }
 
-// hear records the load of another node.
-func (l *serviceLoad) hear(now time.Time, load float64) {
+// hear records the load of another node. A node with a slow link overestimates the time of a
+// request, so that the estimates of the others count more.
+func (l *serviceLoad) hear(now time.Time, rate float64, occupies time.Duration) {
+	l.occupied.observe(occupies)
 	if len(l.told) >= maxToldLoads {
 		l.told = slices.Delete(l.told, 0, 1)
 	}
-	l.told = append(l.told, toldLoad{at: now, load: load})
+	l.told = append(l.told, toldLoad{at: now, rate: rate})
 }
 
-// total returns the average load of all nodes. Each node tells its load once in a period.
+// total returns the mean number of requests of all nodes in flight. Each node tells its rate once in
+// a period.
 func (l *serviceLoad) total(now time.Time) float64 {
 	l.told = slices.DeleteFunc(l.told, func(t toldLoad) bool { return now.Sub(t.at) >= loadPeriod })
-	sum := l.average
+	rate := l.rate
 	for _, t := range l.told {
-		sum += t.load
+		rate += t.rate
 	}
-	return sum
+	return rate * l.occupied.time().Seconds()
 }
 
-// crowded reports whether nodes are to tell each other of each request for the service.
-func (b *Balancer) crowded(now time.Time, l *serviceLoad, service string) bool {
-	if now.Before(l.fullUntil) {
-		return true
+// crowded reports whether requests for the service may have to wait. Nodes then tell each other
+// of each request.
+func (b *Balancer) crowded(now time.Time, service string) bool {
+	l, ok := b.loads[service]
+	if !ok {
+		return false
 	}
 	places := 0
 	for _, t := range b.services[service] {
 		places += t.slots()
 	}
-	return l.total(now) >= crowdedShare*float64(places)
+	return now.Before(l.fullUntil) || l.inFlight >= places || l.total(now) >= crowdedShare*float64(places)
 }
 
 // keepLoads keeps the loads of the services that have upstreams.
@@ -126,7 +126,7 @@
 	if !ok {
 		return
 	}
-	l.change(now, -1)
+	l.inFlight = max(l.inFlight-1, 0)
 	if o == Rejected {
 		l.fullUntil = now.Add(crowdedTime)
 	}
--- a/core/sched/places.go
+++ b/core/sched/places.go
@@ -18,9 +18,6 @@
 	// serviceTTL is the time without a response after which an upstream counts as no slower than
 	// the others, so that it is tried again.
 	serviceTTL = 2 * time.Second
-	// fallGain and riseGain are the weights of a sample below and above the estimate of the time for
-	// which a request takes a place: the longer ones include delays at a node or its link.
-	fallGain, riseGain = 0.2, 0.02
 	// maxCrowding bounds how much longer requests take at an upstream whose places are taken,
 	// since it lets few of them wait.
 	maxCrowding = 2
@@ -46,28 +43,7 @@
 	// occupied is the estimated time for which a request takes a place, from this node's responses
 	// and the estimates of the others; 0 before the first. Unlike service, it does not include
 	// what is slow at this node or its link.
-	occupied time.Duration
-}
-
-// occupies returns the time for which a request is expected to take a place.
-func (p *places) occupies() time.Duration {
-	if p.occupied == 0 {
-		return nominalService
-	}
-	return p.occupied
-}
-
-// observeOccupied updates the time for which a request takes a place.
-func (p *places) observeOccupied(took time.Duration) {
-	switch {
-	case took <= 0:
-	case p.occupied == 0:
-		p.occupied = took
-	case took < p.occupied:
-		p.occupied += scale(took-p.occupied, fallGain)
-	default:
-		p.occupied += scale(min(took, maxServiceRise*p.occupied)-p.occupied, riseGain)
-	}
+	occupied occupancy
 }
 
 // otherRequest is a request that another node sent.
@@ -135,16 +111,21 @@
 // placedByOther records a request that another node sent, with that node's estimate of the time
 // for which a request takes a place, or 0.
 func (t *target) placedByOther(now time.Time, occupies time.Duration) {
-	t.places.observeOccupied(occupies)
+	t.places.occupied.observe(occupies)
 	crowding := min(t.crowding(t.load(now)+1), maxCrowding)
-	t.places.add(now, scale(t.places.occupies(), crowding))
+	t.places.add(now, scale(t.places.occupied.time(), crowding))
+}
+
+// uncrowded returns how long a request that ends now would have taken without others.
+func (t *target) uncrowded(now time.Time, s sent) time.Duration {
+	return scale(now.Sub(s.at), 1/t.crowding(s.load))
 }
 
 // observeService updates the service time from a response.
 func (t *target) observeService(now time.Time, s sent) {
-	took := scale(now.Sub(s.at), 1/t.crowding(s.load))
+	took := t.uncrowded(now, s)
 	p := &t.places
-	p.observeOccupied(took)
+	p.occupied.observe(took)
 	gain := serviceGain
 	if now.Sub(p.seenAt) > serviceTTL {
 		gain = staleGain
@@ -162,7 +143,7 @@
 // are taken: others have taken the places that this node did not know of.
 func (t *target) recordFull(now time.Time) {
 	for n := t.load(now); n < float64(t.slots()); n++ {
-		t.places.add(now, t.places.occupies())
+		t.places.add(now, t.places.occupied.time())
 	}
 }
 
@@ -213,7 +194,7 @@
 
 // Room is what the upstreams of a service without prompts can take, as estimated.
 type Room struct {
-	// Places is the number of requests that they run concurrently; 0 if it is unknown.
+	// Places is the number of requests that they run concurrently; 0 if nothing bounds them.
 	Places int
 	// Free is the number of requests that may be sent now.
 	Free int
@@ -225,8 +206,12 @@
 	Interval time.Duration
 }
 
-// Room returns what the upstreams of the service that get requests now can take.
+// Room returns what the upstreams of the service that get requests now can take. Nothing bounds it
+// while the service is not crowded.
 func (b *Balancer) Room(now time.Time, service string) Room {
+	if !b.crowded(now, service) {
+		return Room{}
+	}
 	var r Room
 	var perSecond float64
 	excess := 0.0
@@ -238,7 +223,7 @@
 			return Room{}
 		}
 		r.Places += t.up.Slots
-		perSecond += float64(t.up.Slots) / t.places.occupies().Seconds()
+		perSecond += float64(t.up.Slots) / t.places.occupied.time().Seconds()
 		room := float64(t.up.Slots+max(t.up.Slots/queueShare, 1)) - t.load(now)
 		r.Free += int(max(math.Round(room), 0))
 		excess += max(-room, 0)
--- a/core/sched/places_test.go
+++ b/core/sched/places_test.go
@@ -9,6 +9,7 @@
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/sched"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 )
 
@@ -32,6 +33,11 @@
 	return b
 }
 
+// crowd tells the balancer of a load that makes the service crowded for a second.
+func crowd(b *sched.Balancer, now time.Time) {
+	b.OnUpdate(now, sched.Update{Kind: sched.ServiceLoad, Upstream: xxhash.Sum64String("desk"), Load: 10_000, Occupies: 20 * time.Millisecond})
+}
+
 // Guards against a node that takes the places of other nodes for free.
 func TestPlacesOfOtherNodes(t *testing.T) {
 	is := is.New(t)
@@ -51,8 +57,11 @@
 		is.True(c.Upstream.ID != busy)
 		b.Started(start, deskQuery, c)
 	}
+	is.Equal(b.Room(start, "desk"), sched.Room{}) // nothing bounds requests for a quiet service
+	crowd(b, start)
 	is.Equal(b.Room(start, "desk").Free, 16-9)
 	// What other nodes sent has ended after the time that is expected of it.
+	crowd(b, start.Add(time.Second))
 	is.Equal(b.Room(start.Add(time.Second), "desk").Free, 16-4)
 }
 
@@ -60,11 +69,13 @@
 func TestPlacesAfterRejection(t *testing.T) {
 	is := is.New(t)
 	b := newDeskBalancer(1, 6)
+	crowd(b, start)
 	is.Equal(b.Room(start, "desk").Free, 8)
 	c, _ := b.Pick(start, deskQuery)
 	c, _, _ = b.Started(start, deskQuery, c)
 	b.Ended(start, c, sched.Rejected)
 	is.Equal(b.Room(start, "desk").Free, 2)
+	crowd(b, start.Add(time.Second))
 	is.Equal(b.Room(start.Add(time.Second), "desk").Free, 8)
 }
 
@@ -192,6 +203,8 @@
 		near.OnUpdate(now, u)
 		far.Ended(now.Add(time.Second), c, sched.Served)
 	}
+	crowd(far, now)
+	crowd(near, now)
 	is.True(far.Room(now, "desk").Free >= 2)
 	is.True(near.Room(now, "desk").Free >= 2)
 	is.True(far.Room(now, "desk").Service < 60*time.Millisecond)
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -95,15 +95,5 @@
 	return waited > c.firstTokenIn()+overdueMargin
 }
 
-// TooLate returns how far the first token is expected after the request's deadline; 0 if it is in
-// time, or if this node has no request at the engine: one is then sent, so that the estimate is
-// corrected if it is wrong.
-func (c Choice) TooLate(q Query) time.Duration {
-	if c.Rank < 0 || c.InFlight == 0 || q.Deadline <= 0 {
-		return 0
-	}
-	return max(c.firstTokenIn()-q.Deadline, 0)
-}
-
 // firstTokenIn returns the estimated time to the first token.
 func (c Choice) firstTokenIn() time.Duration { return prefillOverhead + c.Wait + c.Prefill }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -216,6 +216,7 @@
 		}
 	case sched.ServiceLoad:
 		u.Load = float64(rapid.IntRange(0, 10_000).Draw(t, "load")) * 0.01
+		u.Occupies = time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "occupies")) * 100 * time.Microsecond
 	case sched.Occupied:
 		u.Occupies = time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "occupies")) * 100 * time.Microsecond
 	case sched.NamedLimit:
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -22,7 +22,7 @@
 	Paused
 	// Occupied means that a request without a prompt was sent to the upstream.
 	Occupied
-	// ServiceLoad tells the sender's average load of a service without prompts.
+	// ServiceLoad tells the sender's load of a service without prompts.
 	ServiceLoad
 )
 
@@ -37,10 +37,10 @@
 	// placement of a prompt with these parts.
 	Uncached int
 	Parts    []PartKey
-	// Occupies is the estimated time for which such a request takes a place of the upstream; 0 if
-	// the sender does not know it.
+	// Occupies is the estimated time for which a request without a prompt takes a place of the
+	// upstream; 0 if the sender does not know it.
 	Occupies time.Duration
-	// Load is the mean number of requests of the sender in flight.
+	// Load is the sender's rate in requests per second.
 	Load float64
 	// Limit is the limit that the upstream names.
 	Limit RateLimit
@@ -72,7 +72,8 @@
 	case Paused:
 		return binary.AppendUvarint(b, uint64(u.Pause.Milliseconds()))
 	case ServiceLoad:
-		return binary.AppendUvarint(b, uint64(min(u.Load/loadUnit+0.5, codec.MaxCount)))
+		b = binary.AppendUvarint(b, uint64(min(u.Load/loadUnit+0.5, codec.MaxCount)))
+		return binary.AppendUvarint(b, uint64(min(u.Occupies/occupiesUnit, codec.MaxCount)))
 	case Occupied:
 		return binary.AppendUvarint(b, uint64(min(u.Occupies/occupiesUnit, codec.MaxCount)))
 	}
@@ -105,6 +106,7 @@
 		u.Pause = min(time.Duration(r.Count())*time.Millisecond, MaxPause)
 	case ServiceLoad:
 		u.Load = float64(r.Count()) * loadUnit
+		u.Occupies = time.Duration(r.Count()) * occupiesUnit
 	case Occupied:
 		u.Occupies = time.Duration(r.Count()) * occupiesUnit
 	}
@@ -142,7 +144,7 @@
 func (b *Balancer) OnUpdate(now time.Time, u Update) {
 	if u.Kind == ServiceLoad {
 		if l, ok := b.loadByHash[u.Upstream]; ok {
-			l.hear(now, u.Load)
+			l.hear(now, u.Load, u.Occupies)
 		}
 		return
 	}
--- a/io/front/admit.go
+++ b/io/front/admit.go
@@ -177,23 +177,6 @@
 	}
 }
 
-// tooLate reports whether a request is rejected because the first token is expected after its
-// deadline.
-func (a *admission) tooLate(q sched.Query, c sched.Choice) bool { return a != nil && c.TooLate(q) > 0 }
-
-// noPickError returns the response to a request for which no upstream is good; choice is the best
-// one, if there is one, and last the response of its latest attempt.
-func (c *call) noPickError(choice sched.Choice, last *responseError) *responseError {
-	if last != errNoUpstream || !c.f.admission.tooLate(c.query(), choice) {
-		return c.noChoiceError(last)
-	}
-	c.admitted.decision = sched.Decision{Action: sched.Reject, Reason: sched.Late}
-	c.f.metrics.countAdmission(c.admitted)
-	failure := *errNotAdmitted
-	failure.retryAfter = choice.TooLate(c.query()) + time.Duration(xxhash.Sum64String(c.id)%uint64(retrySpread))
-	return &failure
-}
-
 // placeTaken tells admission that the request is in flight, or is not sent.
 func (c *call) placeTaken() {
 	if !c.admitted.granted {
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -211,7 +211,7 @@
 		}
 		choice, ok := c.f.pick(c.query())
 		if !ok {
-			return c.noPickError(choice, last)
+			return c.noChoiceError(last)
 		}
 		res := c.tryUpstream(ctx, choice)
 		if res.final {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -232,7 +232,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	c, ok := f.balancer.Pick(now, q)
-	if !ok || f.admission.tooLate(q, c) {
+	if !ok {
 		return c, false
 	}
 	c, n, send := f.balancer.Started(now, q, c)
