--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -93,6 +93,8 @@
 	targets  map[string]*target
 	byHash   map[uint64]*target
 	services map[string][]*target
+	// speeds are those of the services.
+	speeds map[string]*speed
 	// loads holds the loads of services without prompts by name, and loadByHash by the hash of it.
 	loads      map[string]*serviceLoad
 	loadByHash map[uint64]*serviceLoad
@@ -106,6 +108,9 @@
 	// candidates, atHome and homes are buffers that each decision reuses.
 	candidates, atHome []candidate
 	homes              []home
+	// evacuated are the evacuated places, and regions the regions of the places.
+	evacuated fleet.Evacuations
+	regions   fleet.Regions
 }
 
 // New returns a balancer without upstreams, for a node in the given place.
@@ -114,6 +119,7 @@
 		opts: opts, place: place, share: 1,
 		loads: map[string]*serviceLoad{}, loadByHash: map[uint64]*serviceLoad{},
 		targets: map[string]*target{}, byHash: map[uint64]*target{}, services: map[string][]*target{},
+		speeds: map[string]*speed{},
 	}
 }
 
@@ -127,18 +133,38 @@
 	for _, u := range ups {
 		t, ok := b.targets[u.ID]
 		if !ok || !t.up.Born.Equal(u.Born) || t.up.Addr != u.Addr {
-			t = newTarget(u)
+			t = newTarget(u, b.speed(u.Service))
 		}
 		t.setEngine(engine(u.Service))
 		t.up = u
 		next[u.ID] = t
 		b.byHash[t.hash] = t
-		if u.State == fleet.UpstreamReady && !t.leaving {
+		if t.open(b.evacuated) {
 			b.services[u.Service] = append(b.services[u.Service], t)
 		}
 	}
 	b.targets = next
 	b.keepLoads()
+	b.keepSpeeds()
+}
+
+// speed returns the speed of the engines of a service.
+func (b *Balancer) speed(service string) *speed {
+	s, ok := b.speeds[service]
+	if !ok {
+		s = newSpeed()
+		b.speeds[service] = s
+	}
+	return s
+}
+
+// keepSpeeds keeps the speeds of the services that have upstreams.
+func (b *Balancer) keepSpeeds() {
+	next := make(map[string]*speed, len(b.services))
+	for _, t := range b.targets {
+		next[t.up.Service] = t.speed
+	}
+	b.speeds = next
 }
 
 // Ready returns the number of upstreams of a service that accept requests.
@@ -174,7 +200,8 @@
 	if len(q.Parts) > maxUpdateParts {
 		return c, u, t.limiter != nil
 	}
-	u.Uncached, u.Parts = c.Uncached, q.Parts
+	u.Uncached, u.Parts, u.Slowdown = c.Uncached, q.Parts, t.evidence
+	t.evidence = 0
 	return c, u, true
 }
 
@@ -185,7 +212,10 @@
 		return
 	}
 	t.clearPending(c.Ticket)
-	t.observe(prefillOverhead+c.Wait+t.prefillTime(c.Uncached), took)
+	if c.Fetched == 0 {
+		t.speed.observe(c.Uncached+c.waitTokens, took)
+	}
+	t.observe(t.overhead()+t.prefillTime(c.Uncached), c.Wait, took)
 }
 
 // Ended records the outcome of an attempt. It returns the update for the other nodes;
