Bill an ended holder only for requests that had begun, and 0.25 s ahead

Ruled out: a rate that was still high after a burst (it is the true rate), what requests waited for (Need was 0), a limit confirmed seconds before.

Nodes with a disk use the options of all others. A request counts as used once it begins, that is before the first part of its response is passed on (Holder.Begin). Reservations keep a holder within its grant as before, and while the control group replies they are admitted up to the cutoff limit; the initial limit bounds what begins and no longer includes what waits. A holder that dies is billed what had begun and its initial limit. The log line of an ended holder says what it is billed to each customer and why (quota.Bills).

--- a/commands/node.go
+++ b/commands/node.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"dotterelgap/core/quota"
 	"dotterelgap/io/node"
 	"dotterelgap/io/sigs"
 	"dotterelgap/io/telem"
@@ -104,7 +105,7 @@
 	}
 	deps := node.Deps{
 		Log: t.Log, Pool: wire.NewPool(nil), Server: server, Rand: newRand(), Place: s.place(), Seeds: s.seeds(),
-		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Size: s.size(), Retry: s.retry(), Quota: s.quota(),
+		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Size: s.size(), Retry: s.retry(), Quota: quota.DefaultOptions(),
 		LeaveNotice: leaveNotice,
 		Interface: node.Interface{
 			Dialect: platform.Dialect(), Decode: platform.DecodePolicy,
--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -8,7 +8,6 @@
 
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/parse"
-	"dotterelgap/core/quota"
 	"dotterelgap/io/front"
 	"dotterelgap/io/telem"
 )
@@ -130,18 +129,6 @@
 	return front.RetryOptions{Ratio: s.RetryRatio, Burst: s.RetryBurst, Window: s.RetryWindow.Std()}
 }
 
-// controlHostHorizon is the initial and the cutoff horizon of a node that can be a
-// control host. It only has to outlast an election.
-const controlHostHorizon = 700 * time.Millisecond
-
-func (s *NodeSettings) quota() quota.Options {
-	opts := quota.DefaultOptions()
-	if s.DataDir != "" {
-		opts.InitialHorizon, opts.CutoffHorizon = controlHostHorizon, controlHostHorizon
-	}
-	return opts
-}
-
 func (s *NodeSettings) place() fleet.Place { return fleet.Place(s.Place) }
 
 func (s *NodeSettings) telemetry() telem.Settings {
--- a/core/quota/allocation.go
+++ b/core/quota/allocation.go
@@ -21,13 +21,17 @@
 	watermark       Tokens
 	keeperWatermark Tokens
 	spent           Tokens
-	reserved        Tokens
+	// reserved is the sum of the worst cases of all requests in progress, begun the part of it of
+	// those that have begun.
+	reserved, begun Tokens
 	// loans is what was borrowed and is not reserved yet.
 	loans Tokens
 	// lending is what another node wants to borrow and no witness has recorded yet.
 	lending Tokens
 	// waiting holds the worst cases of requests that wait for tokens, by request.
 	waiting map[string]Tokens
+	// ready holds the worst cases of requests that wait to begin, by request.
+	ready map[string]Tokens
 	// missed is the worst case of the largest request that was refused for want of tokens that
 	// the customer has elsewhere, and whose caller may be back until missedUntil.
 	missed      Tokens
@@ -41,7 +45,7 @@
 	// statement since.
 	seeded bool
 	// statedSpent and statedReserved are the values in the latest statement.
-	statedSpent, statedReserved Tokens
+	statedSpent, statedReserved, statedBegun Tokens
 	// largest is the worst case of the largest request since largestAt.
 	largest   Tokens
 	largestAt time.Time
@@ -71,7 +75,19 @@
 	return max(sum, alloc.missedNeed(now))
 }
 
+// unbegun returns the sum of the worst cases of the requests that have not begun.
+func (alloc *localAllocation) unbegun() Tokens { return alloc.reserved - alloc.begun }
+
+// readyTokens returns the sum of the worst cases of the requests that wait to begin.
+func (alloc *localAllocation) readyTokens() Tokens {
+	var sum Tokens
+	for _, n := range alloc.ready {
+		sum += n
+	}
+	return sum
+}
+
 // changed reports whether the next statement must name the customer.
 func (alloc *localAllocation) changed() bool {
-	return !alloc.known || alloc.recall || alloc.seeded || len(alloc.waiting) > 0 || alloc.spent != alloc.statedSpent || alloc.reserved != alloc.statedReserved
+	return !alloc.known || alloc.recall || alloc.seeded || len(alloc.waiting) > 0 || len(alloc.ready) > 0 || alloc.begun != alloc.statedBegun || alloc.spent != alloc.statedSpent || alloc.reserved != alloc.statedReserved
 }
--- /dev/null
+++ b/core/quota/begin_test.go
@@ -0,0 +1,44 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dotterelgap/core/quota"
+
+	"github.com/matryer/is"
+)
+
+// A holder that dies is not billed for the requests of which nothing was passed on: those that
+// wait for tokens, and those that upstreams have not answered yet.
+func TestDeadHolderIsNotBilledForWhatHasNotBegun(t *testing.T) {
+	is := is.New(t)
+	p := newPair(1_000_000)
+	p.holder.SetWitnesses([]nodeID{"entry-2", "entry-3", "entry-4"}, nil)
+	p.demand(is)
+	for i := range 50 {
+		_ = p.holder.Reserve(p.now, fmt.Sprint("w", i), "acme", 900)
+	}
+	p.exchange()
+	for i := range 50 {
+		is.NoErr(p.holder.Reserve(p.now, fmt.Sprint("w", i), "acme", 900))
+	}
+	p.exchange()
+	spent := p.ledger.Accounts["acme"].Allocations["entry-1"].Spent
+	p.ledger.End(quota.Ending{Holder: "entry-1", Seq: p.ledger.Holders["entry-1"].Seq, Evidence: quota.Evidence{Witnessed: true}})
+	is.True(p.ledger.Accounts["acme"].Billed <= spent+900) // the next request to begin, or the demand until the next statement
+}
+
+// What a leaving holder still has in progress counts as begun, since it reports nothing later.
+func TestLeavingHolderIsBilledForRequestsInProgress(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.exchange()
+	_ = p.holder.Reserve(p.now, "r1", "acme", 900)
+	p.exchange()
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	p.holder.Leave()
+	p.exchange()
+	is.NoErr(p.holder.Begin(p.now, "r1", "acme", 900))
+	is.Equal(p.ledger.Accounts["acme"].Billed, quota.Tokens(900))
+}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -37,6 +37,8 @@
 type reservation struct {
 	customer string
 	worst    Tokens
+	// begun is set once a part of the response may have been passed on.
+	begun bool
 	// loan is set if the tokens were borrowed.
 	loan bool
 }
@@ -58,7 +60,7 @@
 	h.fullAt = time.Time{}
 	h.requests = map[string]reservation{}
 	for c := range h.allocations {
-		h.allocations[c] = &localAllocation{rate: h.allocations[c].rate, waiting: h.allocations[c].waiting}
+		h.allocations[c] = &localAllocation{rate: h.allocations[c].rate, waiting: h.allocations[c].waiting, ready: map[string]Tokens{}}
 	}
 }
 
@@ -66,7 +68,7 @@
 func (h *Holder) SetCustomers(now time.Time, names []string) {
 	for _, c := range names {
 		if _, ok := h.allocations[c]; !ok {
-			h.allocations[c] = &localAllocation{rate: demand.NewRate(h.opts.RateHalfLife, now), waiting: map[string]Tokens{}}
+			h.allocations[c] = &localAllocation{rate: demand.NewRate(h.opts.RateHalfLife, now), waiting: map[string]Tokens{}, ready: map[string]Tokens{}}
 			h.urgent = true
 		}
 	}
@@ -131,24 +133,25 @@
 		h.requests[id] = reservation{customer: customer, worst: worst, loan: true}
 		return nil
 	}
-	if alloc.spent+alloc.reserved+worst > h.limit(now, alloc) {
+	if alloc.spent+alloc.reserved+worst > h.admitLimit(now, alloc) {
 		alloc.waiting[id] = worst
-		return h.refuse(now, customer, alloc, worst)
+		return h.refuse(now, customer, alloc, worst, alloc.reserved)
 	}
 	delete(alloc.waiting, id)
 	alloc.reserved += worst
 	h.requests[id] = reservation{customer: customer, worst: worst}
-	if alloc.initialLimit-alloc.spent-alloc.reserved < h.demandOver(now, alloc, h.opts.InitialHorizon)/2 {
-		h.urgent = true
-	}
+	h.urgent = h.urgent || h.startsLow(now, alloc)
 	return nil
 }
 
-func (h *Holder) refuse(now time.Time, customer string, alloc *localAllocation, worst Tokens) error {
+// refuse returns the error for a request that the limits have no room for beside what is spent and
+// what others in progress may still use.
+func (h *Holder) refuse(now time.Time, customer string, alloc *localAllocation, worst, others Tokens) error {
 	h.urgent = true
+	used := alloc.spent + others
 	e := &RefusedError{
-		RetryIn: h.opensIn(now, alloc, worst), Raisable: h.openLimit(now, alloc)-alloc.spent-alloc.reserved >= worst,
-		Reason: Elsewhere, Customer: customer, Worst: worst, Spent: alloc.spent, Reserved: alloc.reserved,
+		RetryIn: h.opensIn(now, alloc, used+worst), Raisable: h.openLimit(now, alloc)-used >= worst,
+		Reason: Elsewhere, Customer: customer, Worst: worst, Spent: alloc.spent, Reserved: others,
 		CutoffLimit: alloc.cutoffLimit, Granted: alloc.granted, Unspent: alloc.unspent, Age: now.Sub(h.repliedAt), CutOff: now.Sub(h.repliedAt) >= h.opts.CutOff,
 	}
 	if alloc.unspent < worst {
@@ -160,25 +163,26 @@
 // opensStep is the resolution of opensIn.
 const opensStep = 100 * time.Millisecond
 
-// opensIn returns the time until enough opens for a request's worst case if no reply
-// comes. It returns 0 if enough is open now, or never will be.
-func (h *Holder) opensIn(now time.Time, alloc *localAllocation, worst Tokens) time.Duration {
-	if alloc.granted-alloc.spent-alloc.reserved < worst {
+// opensIn returns the time until a total of tokens opens if no reply comes. It returns 0 if it
+// is open now, or never will be.
+func (h *Holder) opensIn(now time.Time, alloc *localAllocation, total Tokens) time.Duration {
+	if alloc.granted < total {
 		return 0
 	}
 	elapsed := now.Sub(h.repliedAt)
 	for in := time.Duration(0); elapsed+in <= h.opts.CutOff+h.opts.GrantOpens; in += opensStep {
-		if h.opts.Opening(elapsed+in).limit(alloc.initialLimit, alloc.cutoffLimit, alloc.granted)-alloc.spent-alloc.reserved >= worst {
+		if h.opts.Opening(elapsed+in).limit(alloc.initialLimit, alloc.cutoffLimit, alloc.granted) >= total {
 			return in
 		}
 	}
 	return 0
 }
 
-// GiveUp ends the wait of a refused request.
+// GiveUp ends the wait of a request that was refused, or could not begin.
 func (h *Holder) GiveUp(id, customer string) {
 	if alloc, ok := h.allocations[customer]; ok {
 		delete(alloc.waiting, id)
+		delete(alloc.ready, id)
 	}
 }
 
@@ -212,7 +216,11 @@
 		alloc.loans += r.worst - used
 		return
 	}
+	delete(alloc.ready, id)
 	alloc.reserved -= r.worst
+	if r.begun {
+		alloc.begun -= r.worst
+	}
 	alloc.spent += used
 }
 
@@ -279,8 +287,8 @@
 
 func (h *Holder) usage(now time.Time, customer string, alloc *localAllocation) Usage {
 	used := alloc.spent + alloc.reserved
-	alloc.statedSpent, alloc.statedReserved, alloc.seeded = alloc.spent, alloc.reserved, false
-	u := Usage{Customer: customer, Spent: alloc.spent, Reserved: alloc.reserved, Need: alloc.need(now), Rate: alloc.rate.PerSecond(now), Largest: alloc.largest}
+	alloc.statedSpent, alloc.statedReserved, alloc.statedBegun, alloc.seeded = alloc.spent, alloc.reserved, alloc.begun, false
+	u := Usage{Customer: customer, Spent: alloc.spent, Reserved: alloc.reserved, Unbegun: alloc.unbegun(), Need: alloc.need(now), Rate: alloc.rate.PerSecond(now), Largest: alloc.largest}
 	if h.left || alloc.recall {
 		u.GiveBack = true
 		u.Limit = used + u.Need
@@ -291,7 +299,7 @@
 	}
 	alloc.recall = false
 	u.Mark = used + u.Need + max(h.demandOver(now, alloc, h.opts.CutoffHorizon), h.largestRequests(now, alloc))
-	u.Start = used + u.Need + h.demandOver(now, alloc, h.opts.InitialHorizon)
+	u.Start = alloc.spent + alloc.begun + alloc.readyTokens() + h.startAhead(now, alloc)
 	if h.left {
 		u.Mark, u.Start = used, used
 	}
@@ -339,11 +347,17 @@
 	}
 }
 
-// Leave makes the next statement the last one, which gives back everything.
+// Leave makes the next statement the last one, which gives back everything that requests in
+// progress don't need. They count as begun.
 func (h *Holder) Leave() {
 	h.left = true
 	for _, alloc := range h.allocations {
 		alloc.missed = 0
+		alloc.begun = alloc.reserved
+	}
+	for id, r := range h.requests {
+		r.begun = true
+		h.requests[id] = r
 	}
 }
 
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -37,10 +37,16 @@
 	// holder has no reply to its latest statement, it may apply lower limits: it lowers
 	// its own to what the statement asks for.
 	InitialLimit Tokens `cbor:"7,keyasint"`
+	// Unbegun is the part of Used of requests of which nothing was passed on to a caller. They
+	// cost nothing if the holder ends.
+	Unbegun Tokens `cbor:"8,keyasint,omitempty"`
 	// holder is looked up at its first use.
 	holder *HolderState
 }
 
+// begun returns the most that the holder had used at its latest statement.
+func (r *Allocation) begun() Tokens { return r.Used - r.Unbegun }
+
 // HolderState is what the ledger knows of one incarnation of an entry.
 type HolderState struct {
 	Addr netip.AddrPort `cbor:"1,keyasint"`
@@ -252,7 +258,7 @@
 		delete(a.Allocations, id)
 		bill := e.bill(r, c)
 		a.Billed += bill
-		a.Forfeited += bill - min(r.Used, bill)
+		a.Forfeited += bill - min(r.begun(), bill)
 	}
 }
 
@@ -284,11 +290,12 @@
 	r.Spent = max(r.Spent, u.Spent)
 	used := u.Spent + u.Reserved
 	r.Used = used
+	r.Unbegun = min(max(u.Unbegun, 0), u.Reserved)
 	if u.GiveBack {
 		r.Granted = min(r.Granted, max(u.Limit, used))
 	}
 	r.CutoffLimit = min(max(u.Mark, used), r.Granted)
-	r.InitialLimit = min(max(u.Start, used), r.CutoffLimit)
+	r.InitialLimit = min(max(u.Start, r.begun()), r.CutoffLimit)
 }
 
 // allocate returns the allowance for one customer, raised towards its fair share.
@@ -313,7 +320,7 @@
 		more := min(max(fair, u.Need)-(r.Granted-r.Used), a.Paid-t.granted)
 		r.Granted += max(more, 0)
 		r.CutoffLimit = min(max(u.Mark, r.CutoffLimit, r.Used+u.Need), r.Granted)
-		r.InitialLimit = min(max(u.Start, r.InitialLimit, r.Used+u.Need), r.CutoffLimit)
+		r.InitialLimit = min(max(u.Start, r.InitialLimit), r.CutoffLimit)
 		a.noteShortage(now, id, u.Need > r.Granted-r.Used)
 	}
 	out := Allowance{Customer: u.Customer, Granted: r.Granted, Mark: r.CutoffLimit, Start: r.InitialLimit, Unspent: unused}
--- a/core/quota/raise.go
+++ b/core/quota/raise.go
@@ -19,7 +19,7 @@
 	}
 	r = Raise{Holder: h.id, Heard: h.heard, Marks: map[string]Tokens{}}
 	for c, alloc := range h.allocations {
-		used := alloc.spent + alloc.reserved
+		used := alloc.spent + alloc.begun
 		watermark := max(used, alloc.watermark, alloc.keeperWatermark)
 		if target := h.target(now, alloc); target > h.limit(now, alloc) && h.low(now, alloc) {
 			watermark = max(watermark, target)
@@ -50,7 +50,7 @@
 
 // low reports whether little is left to spend.
 func (h *Holder) low(now time.Time, alloc *localAllocation) bool {
-	if len(alloc.waiting) > 0 || alloc.lending > 0 {
+	if len(alloc.waiting) > 0 || len(alloc.ready) > 0 || alloc.lending > 0 {
 		return true
 	}
 	return h.limit(now, alloc)-alloc.spent-alloc.reserved < h.demandOver(now, alloc, h.opts.InitialHorizon)/2
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -58,6 +58,8 @@
 	Rate float64 `cbor:"7,keyasint"`
 	// Largest is the worst case of the largest recent request.
 	Largest Tokens `cbor:"8,keyasint"`
+	// Unbegun is the part of Reserved of requests of which nothing was passed on yet.
+	Unbegun Tokens `cbor:"11,keyasint,omitempty"`
 }
 
 // Allowance is the ledger's reply for one customer.
--- a/core/quota/witness.go
+++ b/core/quota/witness.go
@@ -249,10 +249,10 @@
 func (e Evidence) bill(r *Allocation, customer string) Tokens {
 	most := r.Granted
 	if e.Witnessed {
-		most = min(most, max(r.InitialLimit, r.Used, e.Raised[customer]))
+		most = min(most, max(r.InitialLimit, r.begun(), e.Raised[customer]))
 	}
 	if e.Timed {
-		most = min(most, max(e.Opening.limit(r.InitialLimit, r.CutoffLimit, r.Granted), r.Used, e.Kept[customer]))
+		most = min(most, max(e.Opening.limit(r.InitialLimit, r.CutoffLimit, r.Granted), r.begun(), e.Kept[customer]))
 	}
 	return most
 }
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -43,6 +43,17 @@
 	return c.EndHolder != nil || c.Quota != nil && (c.Quota.Replaces.Holder != "" || c.Quota.Left)
 }
 
+// Ending returns the ending of a holder that the command may apply.
+func (c Command) Ending() quota.Ending {
+	switch {
+	case c.EndHolder != nil:
+		return *c.EndHolder
+	case c.Quota != nil:
+		return c.Quota.Ending()
+	}
+	return quota.Ending{}
+}
+
 // Publish proposes a routing policy. The policy with the highest number is in force.
 type Publish struct {
 	Number uint64 `cbor:"number"`
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -270,6 +270,9 @@
 	}
 }
 
+// loggedBills limits the customers that the log line of an ended holder names.
+const loggedBills = 5
+
 func (h *Host) applyCommand(e raft.Entry) state.Result {
 	c, err := state.Decode(e.Data)
 	if err != nil {
@@ -278,13 +281,15 @@
 	}
 	ends := c.EndsHolder()
 	var forfeited quota.Tokens
+	var bills []quota.Bill
 	if ends {
 		forfeited = h.state.Quota.Forfeited()
+		bills = h.state.Quota.Bills(c.Ending())
 	}
 	res := h.state.Apply(c)
 	if ends && h.lastRole == raft.Leader {
 		h.log.Info("control: a holder of budgets was billed", zap.Int64("beyond_use", int64(h.state.Quota.Forfeited()-forfeited)),
-			zap.Bool("booked", !res.NotRecorded))
+			zap.Bool("booked", !res.NotRecorded), zap.Any("bills", bills[:min(len(bills), loggedBills)]))
 	}
 	return res
 }
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -138,6 +138,10 @@
 		if a.Status >= http.StatusInternalServerError && c.mayRetry() {
 			return attemptResult{outcome: sched.Failed, failure: errInDoubt, mayHaveRun: true}
 		}
+		if err := c.begin(ctx); err != nil {
+			c.lastErr = err
+			return attemptResult{outcome: c.stopOutcome(), final: true, failure: errTimeout, mayHaveRun: true}
+		}
 		c.copyResponseHeader(a.Header)
 		c.w.Header().Set("Content-Length", strconv.Itoa(buf.Len()))
 		c.writeHead(a.Status)
@@ -189,6 +193,10 @@
 // forwardUnbuffered forwards a long response as it arrives; head is the part that
 // was read from it so far.
 func (c *call) forwardUnbuffered(ctx context.Context, a *conns.Response, head io.Reader) attemptResult {
+	if err := c.begin(ctx); err != nil {
+		c.lastErr = err
+		return attemptResult{outcome: c.stopOutcome(), final: true, failure: errTimeout, mayHaveRun: true}
+	}
 	c.copyResponseHeader(a.Header)
 	if a.Length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -39,6 +39,8 @@
 
 	tried      []string
 	mayHaveRun bool // an upstream may have run the request
+	reserved   bool // tokens are reserved
+	begun      bool // see Budgets.Begin
 	billed     quota.Tokens
 	relayed    bool // part of the response was forwarded as it arrived
 	lastErr    error
@@ -161,6 +163,7 @@
 	err := c.f.deps.Budgets.Reserve(ctx, c.reservation, c.customer, c.maxTokens())
 	c.reserveTook = time.Since(began)
 	if err == nil {
+		c.reserved = true
 		return nil
 	}
 	c.lastErr = err
@@ -175,6 +178,16 @@
 	return &failure
 }
 
+// begin makes sure that the customer has the tokens for what is about to be passed on.
+func (c *call) begin(ctx context.Context) error {
+	if !c.reserved || c.begun {
+		return nil
+	}
+	err := c.f.deps.Budgets.Begin(ctx, c.reservation, c.customer, c.maxTokens())
+	c.begun = err == nil
+	return err
+}
+
 // The Retry-After of a request whose tokens could not be reserved is the expected wait
 // plus retryMargin, between the default of errBudgetElsewhere and maxRetryAfter.
 const (
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -29,6 +29,9 @@
 // differs from those of all others that are not settled yet.
 type Budgets interface {
 	Reserve(ctx context.Context, id, customer string, maxTokens quota.Tokens) error
+	// Begin must return nil before a part of the response is passed on. Until then the request
+	// costs nothing if this process ends.
+	Begin(ctx context.Context, id, customer string, maxTokens quota.Tokens) error
 	Settle(id string, used quota.Tokens)
 }
 
--- a/io/front/ids_test.go
+++ b/io/front/ids_test.go
@@ -32,6 +32,8 @@
 	return nil
 }
 
+func (p *reservations) Begin(context.Context, string, string, quota.Tokens) error { return nil }
+
 func (p *reservations) Settle(id string, _ quota.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/front/poison_test.go
+++ b/io/front/poison_test.go
@@ -24,6 +24,7 @@
 type ampleBudgets struct{}
 
 func (ampleBudgets) Reserve(context.Context, string, string, quota.Tokens) error { return nil }
+func (ampleBudgets) Begin(context.Context, string, string, quota.Tokens) error   { return nil }
 func (ampleBudgets) Settle(string, quota.Tokens)                                 {}
 
 // engines are upstreams that crash when they begin to respond to a prompt with the part
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -44,7 +44,7 @@
 	}
 	s := c.stream
 	s.pending = s.pending[:0]
-	err := s.copy(a)
+	err := s.copy(ctx, a)
 	_ = s.rc.SetWriteDeadline(time.Time{})
 	c.billed = s.billed()
 	switch {
@@ -83,7 +83,7 @@
 	return quota.Tokens(s.c.info.Input + min(tokens, s.c.info.Output))
 }
 
-func (s *streamRelay) copy(a *conns.Response) error {
+func (s *streamRelay) copy(ctx context.Context, a *conns.Response) error {
 	buf := make([]byte, relayBufferSize)
 	begun := false
 	earlier := s.events
@@ -95,7 +95,7 @@
 				s.c.f.recordFirstToken(s.c.choice, time.Since(s.c.sentAt))
 			}
 			s.pending = append(s.pending, buf[:n]...)
-			if err := s.writeEvents(a); err != nil {
+			if err := s.writeEvents(ctx, a); err != nil {
 				return err
 			}
 		}
@@ -112,7 +112,7 @@
 }
 
 // writeEvents writes the complete events in pending to the caller.
-func (s *streamRelay) writeEvents(a *conns.Response) error {
+func (s *streamRelay) writeEvents(ctx context.Context, a *conns.Response) error {
 	end := bytes.LastIndex(s.pending, []byte("\n\n"))
 	if end < 0 {
 		if len(s.pending) > maxEventSize {
@@ -121,6 +121,9 @@
 		return nil
 	}
 	end += 2
+	if err := s.c.begin(ctx); err != nil {
+		return err
+	}
 	if s.events == 0 {
 		s.c.f.guard.answered(s.c.shared)
 	}
--- a/io/node/budget.go
+++ b/io/node/budget.go
@@ -30,6 +30,9 @@
 	// reserveWait is how long a request waits for tokens that the customer has while the
 	// control group replies.
 	reserveWait = 500 * time.Millisecond
+	// beginTick is the time between attempts to begin a request while nothing changes but what has
+	// opened.
+	beginTick = 50 * time.Millisecond
 	// undecidedPause is the pause after a statement that the control group could not apply
 	// yet.
 	undecidedPause = 100 * time.Millisecond
@@ -152,6 +155,36 @@
 	b.holder.GiveUp(id, customer)
 }
 
+// Begin implements front.Budgets. It waits until the request may begin, or ctx ends.
+func (b *budgets) Begin(ctx context.Context, id, customer string, worst quota.Tokens) error {
+	for {
+		next, err := b.tryBegin(id, customer, worst)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			b.endWait(id, customer, nil)
+			return err
+		case <-next:
+		case <-time.After(beginTick):
+		}
+	}
+}
+
+func (b *budgets) tryBegin(id, customer string, worst quota.Tokens) (<-chan struct{}, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	err := b.holder.Begin(time.Now(), id, customer, worst)
+	if b.holder.Urgent() {
+		wake(b.state)
+	}
+	if err != nil {
+		wake(b.raise)
+	}
+	return b.changed, err
+}
+
 // Settle implements front.Budgets.
 func (b *budgets) Settle(id string, used quota.Tokens) {
 	b.mu.Lock()
