Bill prompts of streams that end midway by what came, bound the wait for tokens, and show where a customer's tokens are

Streams that ended midway: whoever sends the request again paid the prompt twice. Now the same share of the prompt is billed as of the output that came, as far as 5% of what whole responses were billed reaches; in full at the deadline. A caller waits an eighth of its objective for tokens that are elsewhere.

--- a/core/quota/begin_test.go
+++ b/core/quota/begin_test.go
@@ -42,3 +42,22 @@
 	is.NoErr(p.holder.Begin(p.now, "r1", "acme", 900))
 	is.Equal(p.ledger.Accounts["acme"].Billed, quota.Tokens(900))
 }
+
+// The requests of a holder that was ended while it was alive need new tokens before they begin.
+func TestRequestOfAnEndedHolderNeedsNewTokens(t *testing.T) {
+	is := is.New(t)
+	p := newPair(10_000)
+	p.exchange()
+	_ = p.holder.Reserve(p.now, "r1", "acme", 900)
+	p.exchange()
+	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	p.ledger.End(quota.Ending{Holder: "entry-1", Seq: p.ledger.Holders["entry-1"].Seq, Evidence: quota.Evidence{Witnessed: true}})
+	p.holder.Renew("entry-9")
+	is.True(p.holder.Begin(p.now, "r1", "acme", 900) != nil)
+	for range 3 {
+		p.exchange()
+		_ = p.holder.Begin(p.now, "r1", "acme", 900)
+	}
+	is.NoErr(p.holder.Begin(p.now, "r1", "acme", 900))
+	is.Equal(p.holder.Used("acme"), quota.Tokens(900))
+}
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -42,9 +42,12 @@
 	reserved   bool // tokens are reserved
 	begun      bool // see Budgets.Begin
 	billed     quota.Tokens
-	relayed    bool // part of the response was forwarded as it arrived
-	lastErr    error
-	stream     *streamRelay
+	// ended says who ended the request, waived what was not billed of its prompt.
+	ended   ending
+	waived  quota.Tokens
+	relayed bool // part of the response was forwarded as it arrived
+	lastErr error
+	stream  *streamRelay
 
 	// firstByteAt is when the first byte of the response was sent to the caller.
 	firstByteAt time.Time
@@ -101,8 +104,10 @@
 	if failure := c.reserve(ctx); failure != nil {
 		return failure
 	}
-	defer func() { c.f.deps.Budgets.Settle(c.reservation, c.billed) }()
-	return c.forward(ctx)
+	var failure *responseError
+	defer func() { c.settle(failure) }()
+	failure = c.forward(ctx)
+	return failure
 }
 
 // identify looks up the route, the service and the customer, and sets the deadline.
@@ -160,6 +165,8 @@
 		return nil
 	}
 	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.reserveWait())
+	defer cancel()
 	err := c.f.deps.Budgets.Reserve(ctx, c.reservation, c.customer, c.maxTokens())
 	c.reserveTook = time.Since(began)
 	if err == nil {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -74,7 +74,10 @@
 	http    *http.Server
 	table   atomic.Pointer[policy.Table]
 	leaving atomic.Bool
-	wg      sync.WaitGroup
+	// aborting is set once requests in progress are aborted.
+	aborting atomic.Bool
+	waivers  waivers
+	wg       sync.WaitGroup
 	// calls are the requests in progress.
 	calls sync.WaitGroup
 	// requests counts the callers' requests.
@@ -93,7 +96,7 @@
 func Start(deps Deps) *Front {
 	f := &Front{
 		deps: deps, log: deps.Log, balancer: sched.New(deps.Sched, deps.Place),
-		retries: map[string]*sched.RetryBudget{}, metrics: newMetrics(),
+		retries: map[string]*sched.RetryBudget{}, metrics: newMetrics(), waivers: waivers{w: quota.NewWaivers()},
 	}
 	f.guard = newGuard(f)
 	f.warned = newWarnings(f.log)
@@ -122,6 +125,7 @@
 			return
 		}
 		if f.table.CompareAndSwap(old, t) {
+			f.waivers.forget(t.HasCustomer)
 			return
 		}
 	}
@@ -180,6 +184,7 @@
 	}
 	err := f.http.Shutdown(ctx)
 	if err != nil {
+		f.aborting.Store(true)
 		_ = f.http.Close()
 	}
 	f.calls.Wait()
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -76,8 +76,10 @@
 }
 
 // testPolicy returns a policy with one stream route to one engine service.
-func testPolicy() *policy.Table {
-	return policy.Compile(&policy.Policy{
+func testPolicy() *policy.Table { return policy.Compile(testPolicyValue()) }
+
+func testPolicyValue() *policy.Policy {
+	return &policy.Policy{
 		Number: 1,
 		Routes: []policy.Route{{
 			Name: "plans", Host: "h.example", Prefix: "/plan/", Kind: policy.Stream, Timeout: 2 * time.Second,
@@ -85,7 +87,7 @@
 		}},
 		Services:  []policy.Service{{Name: "model", Engine: &policy.Engine{Slots: 8, KVTokens: 100_000, EventTokens: 3}}},
 		Customers: []policy.Customer{{Name: "acme", Keys: []string{"k1"}}},
-	})
+	}
 }
 
 // event returns event n of a stream.
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -19,6 +19,7 @@
 	requests    metric.Int64Counter
 	attempts    metric.Int64Counter
 	tokens      metric.Int64Counter
+	waived      metric.Int64Counter
 	quarantines metric.Int64Counter
 	firstByte   metric.Float64Histogram
 	duration    metric.Float64Histogram
@@ -30,7 +31,8 @@
 		attempts: telem.Counter("front", "front_attempts", "Attempts at upstreams by how they ended."),
 		quarantines: telem.Counter("front", "front_quarantines",
 			"Quarantines of prompt parts that this node began or lifted."),
-		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed."),
+		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed, by who ended the response."),
+		waived:    telem.Counter("front", "front_waived_tokens", "Prompt tokens of streams that ended midway that were not billed."),
 		firstByte: telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
 		duration:  telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
 	}
@@ -52,7 +54,9 @@
 	if !c.firstByteAt.IsZero() {
 		m.firstByte.Record(ctx, c.firstByteAt.Sub(c.start).Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
 	}
-	m.tokens.Add(ctx, int64(c.billed))
+	ended := metric.WithAttributes(attribute.String("ended_by", string(c.ended)))
+	m.tokens.Add(ctx, int64(c.billed), ended)
+	m.waived.Add(ctx, int64(c.waived), ended)
 }
 
 // countAttempt records an attempt by its outcome.
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -169,6 +169,18 @@
 	Undecided bool
 }
 
+// AccountArgs asks where a customer's tokens are.
+type AccountArgs struct {
+	Customer string
+}
+
+// AccountReply is the leader's reply. Known is false if it does not know the customer.
+type AccountReply struct {
+	Hint
+	Known   bool
+	Account quota.AccountView
+}
+
 // ElapsedArgs asks a control host how long ago it wrote the last entry of a term.
 type ElapsedArgs struct {
 	Term uint64
