--- a/core/quota/begin_test.go
+++ b/core/quota/begin_test.go
@@ -34,13 +34,20 @@
 	is := is.New(t)
 	p := newPair(10_000)
 	p.exchange()
-	_ = p.holder.Reserve(p.now, "r1", "acme", 900)
+	ids := []string{"r1", "r2"}
+	for _, id := range ids {
+		_ = p.holder.Reserve(p.now, id, "acme", 900)
+	}
 	p.exchange()
-	is.NoErr(p.holder.Reserve(p.now, "r1", "acme", 900))
+	for _, id := range ids {
+		is.NoErr(p.holder.Reserve(p.now, id, "acme", 900))
+	}
 	p.holder.Leave()
 	p.exchange()
-	is.NoErr(p.holder.Begin(p.now, "r1", "acme", 900))
-	is.Equal(p.ledger.Accounts["acme"].Billed, quota.Tokens(900))
+	for _, id := range ids {
+		is.NoErr(p.holder.Begin(p.now, id, "acme", 900))
+	}
+	is.Equal(p.ledger.Accounts["acme"].Billed, quota.Tokens(1_800))
 }
 
 // The requests of a holder that was ended while it was alive need new tokens before they begin.
--- a/core/quota/raise_test.go
+++ b/core/quota/raise_test.go
@@ -50,6 +50,8 @@
 	is.True(isRecorded(p.holder, r, map[nodeID]bool{"entry-2": true}))
 	is.NoErr(p.holder.Begin(p.now, "r1", "acme", 900))
 	p.apply(p.holder, s)
+	soon, _, _, _ := p.holder.Raise(p.now.Add(quota.DefaultOptions().OpenAfter + time.Millisecond))
+	is.Equal(soon.Marks["acme"], quota.Tokens(900)) // though less is open again
 	p.now = p.now.Add(fullyOpenAfter)
 	is.True(p.holder.Begin(p.now, "r2", "multan", 300) != nil)
 	r, _, _, wanted := p.holder.Raise(p.now)
