Waive streams that end midway up to a tenth of what whole responses cost

Without a bound callers could use the product without paying, so a tenth of what whole responses were billed, per customer and entry, bounds it.

--- a/io/front/bill.go
+++ b/io/front/bill.go
@@ -47,9 +47,9 @@
 	return endUpstream
 }
 
-// settle settles the reservation. A customer is billed the output that was passed on, and the
-// prompt. If the stream ended midway before its time, only the same share of the prompt as of the
-// output is billed, as far as the customer's waivers reach: its callers may send the request again.
+// settle settles the reservation. A customer is billed the prompt and the output that was passed
+// on. A stream that ended midway before its time costs nothing as far as the customer's waivers
+// reach: its caller may send the request again, and would pay the prompt twice.
 func (c *call) settle(failure *responseError) {
 	c.ended = c.ending(failure)
 	if c.customer != "" && c.billed > 0 {
@@ -59,25 +59,19 @@
 	c.f.deps.Budgets.Settle(c.reservation, c.billed)
 }
 
-// waive returns the part of the prompt that is not billed.
+// waive returns the part of the bill that is waived.
 func (c *call) waive() quota.Tokens {
 	ws := &c.f.waivers
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	switch c.ended {
-	case endWhole:
+	if c.ended == endWhole {
 		ws.w.Whole(c.customer, c.billed)
 		return 0
-	case endDeadline:
-		return 0
 	}
-	input := quota.Tokens(c.info.Input)
-	passed := c.billed - input
-	named := quota.Tokens(c.info.Output)
-	if c.stream == nil || named <= 0 {
+	if c.ended == endDeadline || c.stream == nil {
 		return 0
 	}
-	return ws.w.Waive(c.customer, input-input*passed/named)
+	return ws.w.Waive(c.customer, c.billed)
 }
 
 // forget deletes the waivers of customers that the policy does not name.
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -32,7 +32,7 @@
 		quarantines: telem.Counter("front", "front_quarantines",
 			"Quarantines of prompt parts that this node began or lifted."),
 		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed, by who ended the response."),
-		waived:    telem.Counter("front", "front_waived_tokens", "Prompt tokens of streams that ended midway that were not billed."),
+		waived:    telem.Counter("front", "front_waived_tokens", "Tokens of streams that ended midway that were not billed."),
 		firstByte: telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
 		duration:  telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
 	}
