Bound the memory, the time and the connections of callers

Cause: a body was read into a buffer that grows to the limit of the policy, however many other bodies did the same; a request that was rejected before its body was read waited for the rest without a deadline; heads were bounded one by one only, so that 1,024 connections with 64 KB of short fields each took 352 MiB; connections that had not sent a request yet did not yield; the listeners for operators, readiness and metrics had no bound on connections and, for metrics, on idle ones.

What does not fit is rejected with 503 and Retry-After, or the upload without progress for longest, or a larger one, yields. io/intake reads bodies and heads within it, for callers with 0.3 and for the API with 0.15 of memory_mb; a body without progress for upload_idle (10 s) ends with 408. The limits on heads, their time and idle connections are those of the policy where it sets them. Connections to all listeners are bounded by shares of the descriptors; the idle one or the incomplete head yields.

Ruled out: a fixed number of connections or uploads, which clients inside the limits could meet; a wait for memory without an upload that yields.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 
 	"dotterelgap/core/escrow"
 	"dotterelgap/core/fleet"
+	"dotterelgap/io/conns"
 	"dotterelgap/io/entry"
+	"dotterelgap/io/intake"
 	"dotterelgap/io/sigs"
 
 	"github.com/gravitational/trace"
@@ -15,7 +18,7 @@
 )
 
 var entryKeys = []string{
-	"place", "listen", "internal", "control", "stop_timeout", "leave_notice", "budget_wait", "budget_horizon", "report_interval",
+	"place", "listen", "internal", "control", "stop_timeout", "leave_notice", "budget_wait", "budget_horizon", "report_interval", "memory_mb",
 	"ca_file", "cert_file", "key_file", "log_level", "log_format", "trace_file", "trace_share",
 }
 
@@ -50,6 +53,7 @@
 }
 
 func runEntry(ctx context.Context, signals *sigs.Signals, s *Settings) error {
+	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
 	p, err := startProcess(signals, s, "entry")
 	if err != nil {
 		return err
@@ -82,5 +86,6 @@
 			Place: s.place(), Addr: p.server.Addr(),
 		},
 		Rand: p.rnd, Limits: limits, Budget: budget, Metrics: p.Metrics(), Stop: stop,
+		Intake: intake.Options{Memory: memoryPart(callerShare, s.MemoryMB)}, MaxCallers: conns.Shares().Callers,
 	})
 }
--- a/commands/node.go
+++ b/commands/node.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"dotterelgap/io/conns"
+	"dotterelgap/io/intake"
 	"dotterelgap/io/node"
 	"dotterelgap/io/sigs"
 	"dotterelgap/io/telem"
@@ -26,8 +28,10 @@
 	// balancer probes once a second and needs two responses to detect that the
 	// node leaves.
 	leaveNotice = 2500 * time.Millisecond
-	// metricsTimeout limits the time to read the header of a request for metrics.
-	metricsTimeout = 5 * time.Second
+	// metricsBody and metricsMemory limit the body of a request for metrics, which has none, and the
+	// memory of all such requests, in bytes.
+	metricsBody   = 4 << 10
+	metricsMemory = 1 << 20
 	// stopMargin is the part of the stop timeout that is reserved for the exit of
 	// the process.
 	stopMargin = 500 * time.Millisecond
@@ -69,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(s.memoryLimit())
+	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
 	t, err := telem.Start(s.telemetry(), "node")
 	if err != nil {
 		return err
@@ -105,9 +109,9 @@
 	deps := node.Deps{
 		Log: t.Log, Pool: wire.NewPool(nil), Server: server, Rand: newRand(), Place: s.place(), Seeds: s.seeds(),
 		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Size: s.size(), Retry: s.retry(), Quota: s.quota(),
-		LeaveNotice: leaveNotice,
+		LeaveNotice: leaveNotice, Intake: s.callerIntake(), Operators: s.operatorIntake(),
 		Interface: node.Interface{
-			Dialect: platform.Dialect(), Decode: platform.DecodePolicy,
+			Dialect: platform.Dialect(), Decode: platform.DecodePolicy, MaxBody: platform.MaxBody,
 			API:   func(n *node.Node) http.Handler { return platform.Control(n) },
 			Ready: func(n *node.Node) http.Handler { return platform.Ready(n) },
 		},
@@ -139,7 +143,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", t.Metrics())
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: metricsTimeout}
+	srv := intake.NewServer(mux, intake.ServerOptions{
+		Most: conns.Shares().Metrics, MaxBody: metricsBody, Gate: intake.NewGate(intake.Options{Memory: metricsMemory}),
+	})
 	go func() { _ = srv.Serve(ln) }()
 	return nil
 }
--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -10,6 +10,7 @@
 	"dotterelgap/core/parse"
 	"dotterelgap/core/quota"
 	"dotterelgap/io/front"
+	"dotterelgap/io/intake"
 	"dotterelgap/io/telem"
 )
 
@@ -45,6 +46,8 @@
 	// StopTimeout is the time after which the platform kills a process that it has
 	// told to stop.
 	StopTimeout parse.Duration `json:"stop_timeout"`
+	// UploadIdle is how long the body of a request may make no progress.
+	UploadIdle parse.Duration `json:"upload_idle"`
 	// RetryRatio, RetryBurst and RetryWindow limit the retries of all nodes.
 	RetryRatio  float64        `json:"retry_ratio"`
 	RetryBurst  float64        `json:"retry_burst"`
@@ -58,6 +61,10 @@
 	// memoryShare is the share of the memory from which on the runtime collects
 	// garbage more often.
 	memoryShare = 0.75
+	// callerShare and operatorShare are the shares of the memory for the heads and bodies of callers'
+	// requests, and of those to the API.
+	callerShare   = 0.3
+	operatorShare = 0.15
 )
 
 // readNodeSettings reads and checks a settings file. The error lists all mistakes.
@@ -68,6 +75,7 @@
 	}
 	s := &NodeSettings{
 		StopTimeout: parse.Duration(10 * time.Second), TolerateHosts: 1, LogLevel: "info",
+		UploadIdle: parse.Duration(intake.DefaultIdle),
 		RetryRatio: 0.2, RetryBurst: 50, RetryWindow: parse.Duration(10 * time.Second),
 	}
 	ps := parse.Into(file, data, s)
@@ -99,6 +107,9 @@
 	if s.StopTimeout <= 0 {
 		ps.Add("stop_timeout", "must be positive")
 	}
+	if s.UploadIdle <= 0 {
+		ps.Add("upload_idle", "must be positive")
+	}
 	if s.RetryRatio < 0 || s.RetryBurst < 0 || s.RetryWindow <= 0 {
 		ps.Add("retry_ratio", "retry_ratio and retry_burst must not be negative, retry_window must be positive")
 	}
@@ -119,11 +130,26 @@
 }
 
 // memoryLimit returns the soft memory limit of the runtime, in bytes.
-func (s *NodeSettings) memoryLimit() int64 {
-	if s.MemoryMB == 0 {
+func memoryLimit(memoryMB int) int64 {
+	if memoryMB == 0 {
 		return math.MaxInt64
 	}
-	return int64(memoryShare * float64(s.MemoryMB) * (1 << 20))
+	return memoryPart(memoryShare, memoryMB)
+}
+
+// callerIntake returns the bounds on what callers send.
+func (s *NodeSettings) callerIntake() intake.Options {
+	return intake.Options{Memory: memoryPart(callerShare, s.MemoryMB), Idle: s.UploadIdle.Std()}
+}
+
+// operatorIntake returns the bounds on what operators and upstreams send to the API.
+func (s *NodeSettings) operatorIntake() intake.Options {
+	return intake.Options{Memory: memoryPart(operatorShare, s.MemoryMB), Idle: s.UploadIdle.Std()}
+}
+
+// memoryPart returns a share of the memory in bytes, or 0 if there is no limit.
+func memoryPart(share float64, memoryMB int) int64 {
+	return int64(share * float64(memoryMB) * (1 << 20))
 }
 
 func (s *NodeSettings) retry() front.RetryOptions {
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -52,13 +52,15 @@
 	BudgetHorizon parse.Duration `json:"budget_horizon"`
 	// ReportInterval is the time between two reports of spent tokens.
 	ReportInterval parse.Duration `json:"report_interval"`
-	CAFile         string         `json:"ca_file"`
-	CertFile       string         `json:"cert_file"`
-	KeyFile        string         `json:"key_file"`
-	LogLevel       string         `json:"log_level"`
-	LogFormat      string         `json:"log_format"`
-	TraceFile      string         `json:"trace_file"`
-	TraceShare     float64        `json:"trace_share"`
+	// MemoryMB is the memory that the process may use; 0 for no limit.
+	MemoryMB   int     `json:"memory_mb"`
+	CAFile     string  `json:"ca_file"`
+	CertFile   string  `json:"cert_file"`
+	KeyFile    string  `json:"key_file"`
+	LogLevel   string  `json:"log_level"`
+	LogFormat  string  `json:"log_format"`
+	TraceFile  string  `json:"trace_file"`
+	TraceShare float64 `json:"trace_share"`
 }
 
 // defaultSettings returns the settings with their default values.
@@ -99,6 +101,7 @@
 		"budget_wait":     duration(&s.BudgetWait),
 		"budget_horizon":  duration(&s.BudgetHorizon),
 		"report_interval": duration(&s.ReportInterval),
+		"memory_mb":       integer(&s.MemoryMB),
 		"ca_file":         str(&s.CAFile),
 		"cert_file":       str(&s.CertFile),
 		"key_file":        str(&s.KeyFile),
@@ -154,6 +157,7 @@
 	"budget_wait":     "how long a request may wait for tokens",
 	"budget_horizon":  "time that an entry's stock of tokens should last without a control host",
 	"report_interval": "time between two reports of spent tokens",
+	"memory_mb":       "memory that the process may use, in MB; 0 for no limit",
 	"ca_file":         "certificate of the fleet's certificate authority",
 	"cert_file":       "certificate of this process",
 	"key_file":        "private key of this process",
@@ -242,6 +246,9 @@
 	if len(missing) > 0 {
 		return &UsageError{Message: "needs -" + strings.Join(missing, ", -") + " (or the same keys in the settings file)"}
 	}
+	if s.MemoryMB < 0 {
+		return &UsageError{Message: fmt.Sprintf("-memory-mb must not be negative, not %d", s.MemoryMB)}
+	}
 	if s.Size < 1 || s.Size > 7 || s.Size%2 == 0 {
 		return &UsageError{Message: fmt.Sprintf("-size must be 1, 3, 5 or 7, not %d", s.Size)}
 	}
--- a/io/conns/idle.go
+++ b/io/conns/idle.go
@@ -16,16 +16,31 @@
 // files.
 const reservedShare = 1.0 / 16
 
-// Shares returns how many connections the process may have to upstreams and how many to callers:
-// half of its descriptors each, less a reserve.
-func Shares() (upstreams, callers int) {
+// Shares of the descriptors for connections to the other listeners of a process.
+const (
+	apiShare     = 1.0 / 16
+	readyShare   = 1.0 / 64
+	metricsShare = 1.0 / 64
+)
+
+// FileShares is how many connections a process may have of each kind. Each request in progress needs
+// one of its caller and at most one to an upstream.
+type FileShares struct {
+	Upstreams, Callers, API, Ready, Metrics int
+}
+
+// Shares divides the descriptors of the process, less a reserve.
+func Shares() FileShares {
 	var l syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil || l.Cur > math.MaxInt32 {
-		return math.MaxInt32, math.MaxInt32
+		return FileShares{math.MaxInt32, math.MaxInt32, math.MaxInt32, math.MaxInt32, math.MaxInt32}
 	}
-	reserved := int(reservedShare * float64(l.Cur))
-	upstreams = int(l.Cur) / 2
-	return upstreams, int(l.Cur) - upstreams - reserved
+	part := func(share float64) int { return int(share * float64(l.Cur)) }
+	s := FileShares{API: part(apiShare), Ready: part(readyShare), Metrics: part(metricsShare)}
+	left := int(l.Cur) - part(reservedShare) - s.API - s.Ready - s.Metrics
+	s.Upstreams = left / 2
+	s.Callers = left - s.Upstreams
+	return s
 }
 
 // Sweep closes the connections that have been idle for too long, and all idle ones to addresses
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -29,12 +29,11 @@
 
 // DefaultOptions returns the options that nodes run with.
 func DefaultOptions() Options {
-	upstreams, _ := Shares()
 	return Options{
 		DialTimeout: 500 * time.Millisecond,
 		IdleTimeout: 10 * time.Second,
 		MaxIdle:     64,
-		MaxOpen:     upstreams,
+		MaxOpen:     Shares().Upstreams,
 		UserTimeout: 3 * time.Second,
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,6 +16,7 @@
 	"dotterelgap/core/fleet"
 	"dotterelgap/core/route"
 	"dotterelgap/io/ctrl"
+	"dotterelgap/io/intake"
 	"dotterelgap/io/wire"
 
 	"github.com/gravitational/trace"
@@ -35,6 +36,9 @@
 	Limits   Limits
 	Budget   escrow.Options
 	Metrics  http.Handler
+	// Intake bounds the memory of what callers send, MaxCallers their connections; 0 means no limit.
+	Intake     intake.Options
+	MaxCallers int
 	// Stop starts a graceful shutdown of the process.
 	Stop func()
 }
@@ -48,6 +52,7 @@
 	budget       *budget
 	http         *http.Server
 	metrics      *metrics
+	intake       *intake.Gate
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
 	heartbeatNow chan struct{}
@@ -76,6 +81,7 @@
 		client:       ctrl.NewClient(deps.Pool, deps.Control),
 		streams:      newStreamClient(deps.TLS),
 		metrics:      newMetrics(),
+		intake:       intake.NewGate(deps.Intake),
 		cancel:       cancel,
 		heartbeatNow: make(chan struct{}, 1),
 		stopping:     make(chan struct{}),
@@ -90,7 +96,10 @@
 		return nil, err
 	}
 	deps.Server.Serve()
+	connections := intake.NewConns(intake.Limits{Most: deps.MaxCallers, Head: deps.Limits.head}, e.intake)
 	e.http = &http.Server{
+		ConnContext:       connections.OnConnect,
+		ConnState:         connections.OnState,
 		Handler:           e.routes(),
 		ReadHeaderTimeout: deps.Limits.HeaderTimeout,
 		IdleTimeout:       deps.Limits.IdleTimeout,
@@ -99,7 +108,7 @@
 	}
 	e.wg.Go(func() { e.heartbeatLoop(ctx) })
 	e.wg.Go(func() { e.budget.run(ctx) })
-	e.wg.Go(func() { _ = e.http.Serve(deps.Listener) })
+	e.wg.Go(func() { _ = e.http.Serve(connections.Listen(deps.Listener)) })
 	return e, nil
 }
 
--- a/io/entry/http.go
+++ b/io/entry/http.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +8,7 @@
 	"time"
 
 	"dotterelgap/core/config"
+	"dotterelgap/io/intake"
 	"dotterelgap/io/telem"
 
 	"github.com/google/uuid"
@@ -25,12 +25,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.withCaller(e.serveChat))
 	mux.HandleFunc("/v1/services/{service}/{path...}", e.withCaller(e.servePlain))
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.Handle("GET /healthz", intake.WithoutBody(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })))
+	mux.Handle("GET /readyz", intake.WithoutBody(http.HandlerFunc(e.serveReady)))
 	if e.deps.Metrics != nil {
-		mux.Handle("GET /metrics", e.deps.Metrics)
+		mux.Handle("GET /metrics", intake.WithoutBody(e.deps.Metrics))
 	}
-	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		intake.Refuse(w, r)
 		notRun(http.StatusNotFound, "no_such_path", "see /v1/chat/completions and /v1/services/", 0).write(w)
 	})
 	return mux
@@ -52,7 +53,9 @@
 	// keyed is set if the caller sent the key; otherwise the entry generated it.
 	keyed bool
 	body  []byte
-	view  *view
+	// held holds the memory of the body; nil before it has been read.
+	held *intake.Body
+	view *view
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, c caller) *Problem
@@ -71,10 +74,14 @@
 		c, p := e.admit(w, r)
 		if p == nil {
 			defer func() { <-e.slots }()
+			defer c.held.Close()
 			p = h(w, r.WithContext(ctx), c)
 		}
 		e.metrics.request(p)
 		if p != nil {
+			if c.held == nil {
+				intake.Refuse(w, r)
+			}
 			p.RequestKey = c.key
 			p.write(w)
 		}
@@ -84,6 +91,10 @@
 // admit identifies the caller and reads the body. On success it holds one of e.slots,
 // which withCaller releases.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request) (caller, *Problem) {
+	if intake.IsTooMany(r.Context()) {
+		w.Header().Set("Connection", "close")
+		return caller{}, notRun(http.StatusServiceUnavailable, "too_many_connections", "this entry has too many connections", time.Second)
+	}
 	c, p := e.identify(r)
 	if p != nil {
 		return c, p
@@ -93,11 +104,13 @@
 	default:
 		return c, notRun(http.StatusServiceUnavailable, "overloaded", "this entry is at its limit of requests", time.Second)
 	}
-	c.body, p = e.readBody(w, r)
+	c.held, p = e.readBody(w, r)
 	if p != nil {
 		<-e.slots
+		return c, p
 	}
-	return c, p
+	c.body = c.held.Data
+	return c, nil
 }
 
 func (e *Entry) identify(r *http.Request) (caller, *Problem) {
@@ -127,18 +140,16 @@
 	return c, nil
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(e.deps.Limits.BodyTimeout))
-	var buf bytes.Buffer
-	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, e.deps.Limits.BodyBytes))
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (*intake.Body, *Problem) {
+	body, err := e.intake.Read(w, r, e.deps.Limits.BodyBytes, time.Now().Add(e.deps.Limits.BodyTimeout))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
 		return nil, notRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit", 0)
+	case errors.Is(err, intake.ErrFull):
+		return nil, notRun(http.StatusServiceUnavailable, "no_memory", "this entry has no memory for the body", time.Second)
 	}
-	if err != nil {
-		return nil, notRun(http.StatusBadRequest, "bad_body", "the body did not arrive whole and in time", 0)
-	}
-	_ = rc.SetReadDeadline(time.Time{})
-	return buf.Bytes(), nil
+	return nil, notRun(http.StatusBadRequest, "bad_body", "the body did not arrive whole and in time", 0)
 }
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -43,3 +43,8 @@
 		DrainTimeout:   3 * time.Second,
 	}
 }
+
+// head returns the limits on the head of a request and on idle connections.
+func (l Limits) head() (bytes int, timeout, idle time.Duration) {
+	return l.HeaderBytes, l.HeaderTimeout, l.IdleTimeout
+}
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -11,6 +11,7 @@
 	"dotterelgap/core/policy"
 	"dotterelgap/core/quota"
 	"dotterelgap/core/sched"
+	"dotterelgap/io/intake"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -32,6 +33,7 @@
 	customerRegions []fleet.Region
 	info            RequestInfo
 	body            []byte
+	held            *intake.Body // nil before the body has been read
 	deadline        time.Time
 	// reservation identifies the reservation of tokens. Callers choose the ids of their
 	// requests, which need not differ.
@@ -64,11 +66,13 @@
 	c := &call{f: f, w: w, r: r, start: time.Now(), id: r.Header.Get(f.deps.Dialect.RequestID)}
 	c.reservation = strconv.FormatUint(f.requests.Add(1), 36)
 	failure := c.serve()
+	defer c.releaseBody()
 	if failure != nil && !c.relayed {
 		if c.id != "" {
 			w.Header().Set(f.deps.Dialect.RequestID, c.id)
 		}
 		c.announceClose()
+		c.refuseBody()
 		failure.write(w)
 	}
 	c.logResult(failure)
@@ -80,7 +84,7 @@
 }
 
 func (c *call) serve() *responseError {
-	if isTooMany(c.r.Context()) {
+	if intake.IsTooMany(c.r.Context()) {
 		c.w.Header().Set("Connection", "close")
 		return errTooManyCallers
 	}
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"dotterelgap/io/intake"
 )
 
 // responseError is an error response that the front itself generates.
@@ -29,6 +31,7 @@
 	errBudgetExhausted = &responseError{status: http.StatusPaymentRequired, code: "budget_exhausted"}
 	errBudgetElsewhere = &responseError{status: http.StatusServiceUnavailable, code: "budget_elsewhere", retryAfter: 300 * time.Millisecond}
 	errNoUpstream      = &responseError{status: http.StatusServiceUnavailable, code: "no_upstream", retryAfter: 500 * time.Millisecond}
+	errNoMemory        = &responseError{status: http.StatusServiceUnavailable, code: "no_memory", retryAfter: intake.RetryAfter}
 	errTooManyCallers  = &responseError{status: http.StatusServiceUnavailable, code: "too_many_connections", retryAfter: 300 * time.Millisecond}
 	errQuarantined     = &responseError{status: http.StatusServiceUnavailable, code: "quarantined"}
 	errUpstreamLimited = &responseError{status: http.StatusServiceUnavailable, code: "upstream_limited", retryAfter: 300 * time.Millisecond}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -14,15 +14,18 @@
 	"dotterelgap/core/quota"
 	"dotterelgap/core/sched"
 	"dotterelgap/io/conns"
+	"dotterelgap/io/intake"
 
 	"go.uber.org/zap"
 )
 
-// Limits on the connections of callers. They do not depend on the policy.
+// Limits on the connections of callers, unless the policy sets them.
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
 	headerBytes   = 64 << 10
+	// serverHeaderBytes is no limit: that of the policy is checked by intake.
+	serverHeaderBytes = 1 << 30
 )
 
 // Budgets reserves tokens of customers and settles the reservations. The id of a reservation
@@ -62,6 +65,8 @@
 	LeaveNotice time.Duration
 	// MaxCallers limits the connections of callers; 0 means no limit.
 	MaxCallers int
+	// Intake bounds the memory of the callers' heads and bodies; nil means no bound.
+	Intake *intake.Gate
 }
 
 // Front serves callers and forwards their requests to upstreams.
@@ -94,19 +99,22 @@
 	}
 	f.guard = newGuard(f)
 	f.warned = newWarnings(f.log)
-	connections := newCallers(deps.MaxCallers)
+	if deps.Intake == nil {
+		f.deps.Intake = intake.NewGate(intake.Options{})
+	}
+	connections := intake.NewConns(intake.Limits{Most: deps.MaxCallers, Head: f.headLimits}, f.deps.Intake)
 	f.http = &http.Server{
 		Handler: f,
 		// "OPTIONS *" is a request as any other.
 		DisableGeneralOptionsHandler: true,
-		ConnContext:                  connections.onConnect,
-		ConnState:                    connections.onState,
+		ConnContext:                  connections.OnConnect,
+		ConnState:                    connections.OnState,
 		ReadHeaderTimeout:            headerTimeout,
 		IdleTimeout:                  idleTimeout,
-		MaxHeaderBytes:               headerBytes,
+		MaxHeaderBytes:               serverHeaderBytes,
 		ErrorLog:                     zap.NewStdLog(deps.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
-	f.wg.Go(func() { _ = f.http.Serve(deps.Listener) })
+	f.wg.Go(func() { _ = f.http.Serve(connections.Listen(deps.Listener)) })
 	return f
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -20,6 +20,7 @@
 	"dotterelgap/io/conns"
 	"dotterelgap/io/ctrl"
 	"dotterelgap/io/front"
+	"dotterelgap/io/intake"
 	"dotterelgap/io/mesh"
 	"dotterelgap/io/wire"
 
@@ -34,6 +35,8 @@
 	Decode func(data []byte) (*policy.Policy, error)
 	// API and Ready create the handlers of the two listeners.
 	API, Ready func(n *Node) http.Handler
+	// MaxBody is the largest body of a request to API, in bytes.
+	MaxBody int64
 }
 
 // Deps holds the dependencies and settings of a Node.
@@ -57,6 +60,8 @@
 	Size  int
 	Retry front.RetryOptions
 	Quota quota.Options
+	// Intake bounds the memory of what callers send, Operators that of the requests to API and Ready.
+	Intake, Operators intake.Options
 	// LeaveNotice is how long a node that shuts down keeps serving, so that the load
 	// balancer detects that it is not ready.
 	LeaveNotice time.Duration
@@ -76,7 +81,9 @@
 	host    *hostRunner
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
-	servers []*http.Server
+	servers []*intake.Server
+	// operators bounds the memory of requests to the API.
+	operators *intake.Gate
 	// policies holds the latest policy that waits to be applied.
 	policies  chan state.Published
 	published atomic.Pointer[state.Published]
@@ -98,6 +105,7 @@
 		client:      ctrl.NewClient(deps.Pool, deps.Seeds),
 		policies:    make(chan state.Published, 1),
 		changed:     make(chan struct{}, 1),
+		operators:   intake.NewGate(deps.Operators),
 		quarantined: make(chan struct{}, 1),
 	}
 	id := fleet.NewNodeID(fleet.RoleEntry, deps.Rand)
@@ -107,11 +115,11 @@
 		cancel()
 		return nil, err
 	}
-	_, maxCallers := conns.Shares()
+	shares := conns.Shares()
 	n.front = front.Start(front.Deps{
 		Log: deps.Log, Listener: deps.Callers, Dialect: deps.Interface.Dialect, Place: deps.Place,
 		Budgets: n.budgets, Conns: n.conns, Sched: sched.DefaultOptions(), Retry: deps.Retry,
-		LeaveNotice: deps.LeaveNotice, MaxCallers: maxCallers,
+		LeaveNotice: deps.LeaveNotice, MaxCallers: shares.Callers, Intake: intake.NewGate(deps.Intake),
 		Broadcast:  func(u sched.Update) { n.updates.enqueue(u) },
 		Report:     func(r poison.Report) { n.updates.enqueue(r) },
 		Leaving:    func(u fleet.Upstream) { n.mesh.Drain(u) },
@@ -134,8 +142,8 @@
 	n.wg.Go(func() { n.host.run(ctx) })
 	n.wg.Go(func() { n.updates.send(ctx) })
 	n.wg.Go(n.updates.receive)
-	n.serve(deps.API, deps.Interface.API)
-	n.serve(deps.Ready, deps.Interface.Ready)
+	n.serve(deps.API, shares.API, deps.Interface.API)
+	n.serve(deps.Ready, shares.Ready, deps.Interface.Ready)
 	return n, nil
 }
 
@@ -152,11 +160,12 @@
 // splitRand returns a source of its own for a part that runs concurrently with the others.
 func splitRand(r *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(r.Uint64(), r.Uint64())) }
 
-func (n *Node) serve(ln net.Listener, handler func(*Node) http.Handler) {
+func (n *Node) serve(ln net.Listener, most int, handler func(*Node) http.Handler) {
 	if ln == nil {
 		return
 	}
-	s := &http.Server{Handler: handler(n), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, ErrorLog: zap.NewStdLog(n.log)}
+	s := intake.NewServer(handler(n), intake.ServerOptions{Most: most, MaxBody: n.deps.Interface.MaxBody, Gate: n.operators})
+	s.ErrorLog = zap.NewStdLog(n.log)
 	n.servers = append(n.servers, s)
 	n.wg.Go(func() { _ = s.Serve(ln) })
 }
