Reject responses that broke off during the upload, and statuses that HTTP does not have

Reported by operators of similar systems: an upstream answered a long upload at once with a 200 without a length and reset the connection while the upload was being written; the part was taken for the whole. It happened here too: the reset is reported to the writer of the body, and the reader then sees the end of the connection. A response without a length now ends only once the upload has been written without an error. A status of 600 or 999 was passed on as a response, 000 and 099 were skipped as interim responses, so that the request waited for another one; all are rejected now as no response (502, may have run), and so is 101, which no request asks for.

Ruled out: to refuse each response before the end of an upload, since an upstream may respond early and read on; such a response is complete if the rest is read.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -179,7 +179,10 @@
 		if err != nil {
 			return nil, stray, err
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		if err := checkStatus(resp); err != nil {
+			return nil, stray, err
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		id := resp.Header.Get(r.IDHeader)
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -27,6 +27,8 @@
 	resp *http.Response
 	// wrote gets the result of writing a long body of the request; nil for others.
 	wrote <-chan error
+	// writeErr is the result of writing a long body, once it is known.
+	writeErr error
 	// stop detaches the connection from the request's context. It returns false if the
 	// request was canceled.
 	stop func() bool
@@ -43,10 +45,27 @@
 
 func (b bodyReader) Read(p []byte) (int, error) {
 	n, err := b.r.resp.Body.Read(p)
-	if err == io.EOF {
-		b.r.complete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if !b.r.Framed && !b.r.uploaded() {
+		return n, io.ErrUnexpectedEOF
+	}
+	b.r.complete = true
+	return n, io.EOF
+}
+
+// uploaded waits until the body of the request has been written and reports whether all of it was. A
+// reset that the writer has met is not reported to the reader again, for which the connection then
+// ends as if the upstream had closed it. The wait ends with the request's context at the latest.
+func (r *Response) uploaded() bool {
+	if r.wrote == nil {
+		return true
+	}
+	err := <-r.wrote
+	r.wrote = nil
+	r.writeErr = err
+	return err == nil
 }
 
 // Close ends the exchange. The connection is reused only if the whole response was
@@ -68,7 +87,7 @@
 // written reports whether the whole body of the request was written.
 func (r *Response) written() bool {
 	if r.wrote == nil {
-		return true
+		return r.writeErr == nil
 	}
 	select {
 	case err := <-r.wrote:
