--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -128,6 +129,9 @@
 
 // receive copies the upstream's response and meters it.
 func (c *call) receive(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > lastStatus {
+		return &responseError{"status " + strconv.Itoa(resp.StatusCode)}
+	}
 	c.response.setHead(wire.Piece{
 		Kind: wire.PieceHead, Attempt: c.dispatch.Attempt,
 		Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"),
@@ -166,5 +170,8 @@
 	}
 }
 
+// lastStatus is the highest status of HTTP (RFC 9110, section 15).
+const lastStatus = 599
+
 // maxResponse bounds the body of a response, in bytes.
 const maxResponse = 32 << 20
