--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -23,7 +23,7 @@
 	Paused
 	// Occupied means that a request without a prompt was sent to the upstream.
 	Occupied
-	// ServiceLoad tells the sender's average load of a service without prompts.
+	// ServiceLoad tells the sender's load of a service without prompts.
 	ServiceLoad
 	// Slowed means that the upstream was late or rejected a request after it had started or
 	// recovered.
@@ -47,7 +47,7 @@
 	// Occupies is the estimated time for which a request without a prompt takes a place of the
 	// upstream; 0 if the sender does not know it.
 	Occupies time.Duration
-	// Load is the mean number of requests of the sender in flight.
+	// Load is the sender's rate in requests per second.
 	Load float64
 	// Limit is the limit that the upstream names.
 	Limit RateLimit
@@ -79,7 +79,8 @@
 	case Paused:
 		return binary.AppendUvarint(b, uint64(u.Pause.Milliseconds()))
 	case ServiceLoad:
-		return binary.AppendUvarint(b, uint64(min(u.Load/loadUnit+0.5, codec.MaxCount)))
+		b = binary.AppendUvarint(b, uint64(min(u.Load/loadUnit+0.5, codec.MaxCount)))
+		return binary.AppendUvarint(b, uint64(min(u.Occupies/occupiesUnit, codec.MaxCount)))
 	case Occupied:
 		return binary.AppendUvarint(b, uint64(min(u.Occupies/occupiesUnit, codec.MaxCount)))
 	}
@@ -113,6 +114,7 @@
 		u.Pause = min(time.Duration(r.Count())*time.Millisecond, MaxPause)
 	case ServiceLoad:
 		u.Load = float64(r.Count()) * loadUnit
+		u.Occupies = time.Duration(r.Count()) * occupiesUnit
 	case Occupied:
 		u.Occupies = time.Duration(r.Count()) * occupiesUnit
 	}
@@ -172,7 +174,7 @@
 func (b *Balancer) OnUpdate(now time.Time, u Update) {
 	if u.Kind == ServiceLoad {
 		if l, ok := b.loadByHash[u.Upstream]; ok {
-			l.hear(now, u.Load)
+			l.hear(now, u.Load, u.Occupies)
 		}
 		return
 	}
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -39,10 +39,15 @@
 
 	tried      []string
 	mayHaveRun bool // an upstream may have run the request
+	reserved   bool // tokens are reserved
+	begun      bool // see Budgets.Begin
 	billed     quota.Tokens
-	relayed    bool // part of the response was forwarded as it arrived
-	lastErr    error
-	stream     *streamRelay
+	// ended says who ended the request, waived what was not billed of it.
+	ended   ending
+	waived  quota.Tokens
+	relayed bool // part of the response was forwarded as it arrived
+	lastErr error
+	stream  *streamRelay
 
 	// firstByteAt is when the first byte of the response was sent to the caller.
 	firstByteAt time.Time
@@ -100,8 +105,10 @@
 	if failure := c.reserve(ctx); failure != nil {
 		return failure
 	}
-	defer func() { c.f.deps.Budgets.Settle(c.reservation, c.billed) }()
-	return c.forward(ctx)
+	var failure *responseError
+	defer func() { c.settle(failure) }()
+	failure = c.forward(ctx)
+	return failure
 }
 
 // identify looks up the route, the service and the customer, and sets the deadline.
@@ -159,9 +166,12 @@
 		return nil
 	}
 	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.reserveWait())
+	defer cancel()
 	err := c.f.deps.Budgets.Reserve(ctx, c.reservation, c.customer, c.maxTokens())
 	c.reserveTook = time.Since(began)
 	if err == nil {
+		c.reserved = true
 		return nil
 	}
 	c.lastErr = err
@@ -176,6 +186,16 @@
 	return &failure
 }
 
+// begin makes sure that the customer has the tokens for what is about to be passed on.
+func (c *call) begin(ctx context.Context) error {
+	if !c.reserved || c.begun {
+		return nil
+	}
+	err := c.f.deps.Budgets.Begin(ctx, c.reservation, c.customer, c.maxTokens())
+	c.begun = err == nil
+	return err
+}
+
 // The Retry-After of a request whose tokens could not be reserved is the expected wait
 // plus retryMargin, between the default of errBudgetElsewhere and maxRetryAfter.
 const (
@@ -211,7 +231,7 @@
 		}
 		choice, ok := c.f.pick(c.query())
 		if !ok {
-			return c.noPickError(choice, last)
+			return c.noChoiceError(last)
 		}
 		res := c.tryUpstream(ctx, choice)
 		if res.final {
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -19,6 +19,7 @@
 	requests    metric.Int64Counter
 	attempts    metric.Int64Counter
 	tokens      metric.Int64Counter
+	waived      metric.Int64Counter
 	quarantines metric.Int64Counter
 	heldBack    metric.Int64Counter
 	paced       metric.Int64Gauge
@@ -40,7 +41,8 @@
 		waiting:   telem.UpDown("front", "front_waiting", "Requests that wait for a place at an upstream."),
 		rejected:  telem.Counter("front", "front_not_admitted", "Requests that admission rejected, by reason."),
 		waited:    telem.Seconds("front", "front_wait_seconds", "Time that requests waited for a place at an upstream."),
-		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed."),
+		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed, by who ended the response."),
+		waived:    telem.Counter("front", "front_waived_tokens", "Tokens of streams that ended midway that were not billed."),
 		firstByte: telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
 		duration:  telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
 	}
@@ -62,7 +64,9 @@
 	if !c.firstByteAt.IsZero() {
 		m.firstByte.Record(ctx, c.firstByteAt.Sub(c.start).Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
 	}
-	m.tokens.Add(ctx, int64(c.billed))
+	ended := metric.WithAttributes(attribute.String("ended_by", string(c.ended)))
+	m.tokens.Add(ctx, int64(c.billed), ended)
+	m.waived.Add(ctx, int64(c.waived), ended)
 }
 
 // countAttempt records an attempt by its outcome.
