--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -73,6 +73,11 @@
 	// EjectShare is the maximum share of a service's upstreams that may be ejected at
 	// the same time.
 	EjectShare float64
+	// ColdOverage is the factor by which the requests to a cold upstream in one second may exceed
+	// its rate, and ColdBurst the number by which they may exceed it besides.
+	ColdOverage, ColdBurst float64
+	// Pace limits the requests to upstreams that have started or recovered.
+	Pace bool
 	// SharePlaces is set if the nodes tell each other of requests without prompts, so that each
 	// knows which places of the upstreams are taken.
 	SharePlaces bool
@@ -83,6 +88,7 @@
 	return Options{
 		HomeBonus: 20 * time.Millisecond, HomeRanks: 3, RecomputeWeight: 4, SafeShare: 0.4, LateWeight: 8, LimitCost: 400 * time.Millisecond,
 		EjectAfter: 2, EjectTime: time.Second, EjectShare: 0.4,
+		ColdOverage: 1,
 	}
 }
 
@@ -103,6 +109,18 @@
 	// share is the share of an upstream's limit that the nodes in contact with this one may
 	// use.
 	share float64
+	// sharers are the hashes of the nodes that share bounds, self that of this one, and joined is
+	// set if this one uses its part. sharersVersion increases with each change.
+	sharers        []uint64
+	self           uint64
+	joined         bool
+	sharersVersion uint64
+	// knownSince is since when the services have had upstreams. paceChanges have not been read yet.
+	knownSince  map[string]time.Time
+	paceChanges []PaceChange
+	// idlePacedToo is set while paced upstreams without requests of this node may be chosen before
+	// their time.
+	idlePacedToo bool
 	// recent holds this node's latest 16 outcomes, with a set bit for each failure.
 	recent uint16
 	// candidates, atHome and homes are buffers that each decision reuses.
@@ -186,6 +204,9 @@
 	}
 	t.inFlight++
 	t.limiter.sent(now, b.share)
+	b.recordCold(now, t)
+	t.pace.Sent(now)
+	t.usual.sent(now)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
 		if !b.opts.SharePlaces {
@@ -230,6 +251,7 @@
 	}
 	t.clearPending(c.Ticket)
 	t.inFlight = max(t.inFlight-1, 0)
+	slowed, tell := t.endedPace(now, c, o)
 	if !c.sent.at.IsZero() {
 		t.recordPlace(now, c.sent, o)
 		if o == Served {
@@ -248,7 +270,7 @@
 		// then likely to be on this node.
 		return Update{Kind: Failure, Upstream: t.hash}, bits.OnesCount16(b.recent) <= maxReportedFailures
 	}
-	return Update{}, false
+	return slowed, tell
 }
 
 // maxReportedFailures is the number of failures among a node's latest 16 outcomes up to
@@ -260,6 +282,7 @@
 func (b *Balancer) recordFailure(now time.Time, t *target, weight float64) {
 	if t.health.recordFailure(now, weight) >= float64(b.opts.EjectAfter) && !now.Before(t.ejectedUntil) && b.mayEject(now, t) {
 		t.ejectedUntil = now.Add(b.opts.EjectTime << t.health.eject())
+		b.beginPace(now, t, "ejected")
 	}
 }
 
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -13,6 +13,9 @@
 	list := b.services[q.Service]
 	for _, avoided := range []bool{false, true} {
 		c, closed, ok := b.pickFrom(now, q, list, avoided)
+		if !ok {
+			c, closed, ok = b.pickPaced(now, q, list, avoided)
+		}
 		if ok {
 			return c, !closed || q.Objective <= 0 || c.firstTokenIn() <= q.Objective
 		}
@@ -34,8 +37,8 @@
 		if t.avoided(now) != avoided || now.Before(t.pausedUntil) || !b.inRegions(t, q) || slices.Contains(q.Exclude, t.up.ID) {
 			continue
 		}
-		if t.limiter.opensIn(now, b.share) > 0 {
-			closed = true
+		if in, limited := b.opensIn(now, t); in > 0 {
+			closed = closed || limited
 			continue
 		}
 		b.candidates = append(b.candidates, candidate{t: t, rank: ranks})
--- a/core/sched/signals.go
+++ b/core/sched/signals.go
@@ -62,6 +62,7 @@
 	if until := now.Add(pause); until.After(t.pausedUntil) {
 		t.pausedUntil = until
 	}
+	b.beginPace(now, t, "paused")
 	return Update{Kind: Paused, Upstream: t.hash, Pause: pause}, true
 }
 
@@ -74,8 +75,9 @@
 // Opening is when an upstream may get a request again.
 type Opening struct {
 	In time.Duration
-	// Paused is set if the upstream asked for a pause, and not set if its limit is reached.
-	Paused bool
+	// Paused is set if the upstream asked for a pause, and Paced if it is cold or has recovered
+	// lately. If neither is set, its limit is reached.
+	Paused, Paced bool
 }
 
 // OpensIn returns the first time at which an upstream that may get the request, but gets none
@@ -86,6 +88,9 @@
 			continue
 		}
 		o := Opening{In: t.limiter.opensIn(now, b.share)}
+		if paced := b.pacedFor(now, t); paced > o.In {
+			o = Opening{In: paced, Paced: true}
+		}
 		if pause := t.pausedUntil.Sub(now); pause > o.In {
 			o = Opening{In: pause, Paused: true}
 		}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelgap/core/fleet"
+	"dotterelgap/core/pace"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -54,6 +55,16 @@
 	pending    []pendingToken
 	lastTicket uint64
 	health     health
+	// pace limits the requests to an upstream that has started or recovered; nil if there is none.
+	pace  *pace.Pace
+	usual usual
+	// fresh is set until it is decided whether a new upstream is paced. pacedReturn is the return of
+	// its place for which it was paced.
+	fresh bool
+	// only is set while it is the only upstream of its service.
+	only        bool
+	pacedReturn time.Time
+	cold        cold
 	// places counts what is in flight at an upstream without prompts.
 	places places
 	// limiter is nil while the upstream names no limit.
@@ -76,6 +87,8 @@
 	// ColdPerSecond is the number of requests a second that a cold upstream tolerates from all
 	// entries together; 0 if it has no such bound.
 	ColdPerSecond float64
+	// ColdFor is how long an upstream is cold after its start; 0 if it is unknown.
+	ColdFor time.Duration
 	// KVTokens is the size of an engine's KV memory in tokens; 0 if it is unknown.
 	KVTokens int
 	// FetchPerToken is the time to fetch the KV cache of a token from another engine; 0 if
@@ -84,7 +97,7 @@
 }
 
 func newTarget(u Upstream, s *speed) *target {
-	return &target{up: u, hash: xxhash.Sum64String(u.ID), cache: newCache(defaultCacheTokens), speed: s, slowdown: newCenter(1, slowdownMemory)}
+	return &target{up: u, hash: xxhash.Sum64String(u.ID), cache: newCache(defaultCacheTokens), speed: s, slowdown: newCenter(1, slowdownMemory), fresh: true}
 }
 
 // setEngine sets the description of the engine, which may become known after the engine itself.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -29,6 +29,9 @@
 // differs from those of all others that are not settled yet.
 type Budgets interface {
 	Reserve(ctx context.Context, id, customer string, maxTokens quota.Tokens) error
+	// Begin must return nil before a part of the response is passed on. Until then the request
+	// costs nothing if this process ends.
+	Begin(ctx context.Context, id, customer string, maxTokens quota.Tokens) error
 	Settle(id string, used quota.Tokens)
 }
 
@@ -75,7 +78,10 @@
 	http    *http.Server
 	table   atomic.Pointer[policy.Table]
 	leaving atomic.Bool
-	wg      sync.WaitGroup
+	// aborting is set once requests in progress are aborted.
+	aborting atomic.Bool
+	waivers  waivers
+	wg       sync.WaitGroup
 	// calls are the requests in progress.
 	calls sync.WaitGroup
 	// requests counts the callers' requests.
@@ -96,7 +102,7 @@
 func Start(deps Deps) *Front {
 	f := &Front{
 		deps: deps, log: deps.Log, balancer: sched.New(deps.schedOptions(), deps.Place),
-		retries: map[string]*sched.RetryBudget{}, metrics: newMetrics(),
+		retries: map[string]*sched.RetryBudget{}, metrics: newMetrics(), waivers: waivers{w: quota.NewWaivers()},
 	}
 	f.balancer.SetRegions(deps.Regions)
 	if deps.Admission {
@@ -136,6 +142,7 @@
 			return
 		}
 		if f.table.CompareAndSwap(old, t) {
+			f.waivers.forget(t.HasCustomer)
 			return
 		}
 	}
@@ -155,14 +162,15 @@
 		}
 		if s, ok := table.Service(service); ok && s.Engine != nil {
 			return sched.Engine{
-				Slots: s.Engine.Slots, ColdPerSecond: s.ColdPerSecond,
+				Slots: s.Engine.Slots, ColdPerSecond: s.ColdPerSecond, ColdFor: s.ColdFor,
 				KVTokens: s.Engine.KVTokens, FetchPerToken: s.Engine.FetchPerToken,
 			}
 		} else if ok {
-			return sched.Engine{ColdPerSecond: s.ColdPerSecond}
+			return sched.Engine{ColdPerSecond: s.ColdPerSecond, ColdFor: s.ColdFor}
 		}
 		return sched.Engine{}
 	})
+	f.updateCold()
 }
 
 // SetEntries sets the entries that share the retry budget and the limits of upstreams.
@@ -195,6 +203,7 @@
 	}
 	err := f.http.Shutdown(ctx)
 	if err != nil {
+		f.aborting.Store(true)
 		_ = f.http.Close()
 	}
 	f.calls.Wait()
@@ -265,6 +274,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.balancer.FirstToken(c, took)
+	if u, send := f.balancer.FirstTokenPace(time.Now(), c, took); send {
+		f.deps.Broadcast(u)
+	}
 }
 
 // opensIn returns when an upstream that may get the request, but gets none now, may get one
