Show where a request would go now, without sending it

Cause: operators could see why a request went somewhere only afterwards, from its log line.

Change: the command where asks a node (Node.Where), which identifies the request and surveys the balancer: the upstream that it would choose, and for each other one the estimates or the reason why it is left out. A survey uses up no tie, limit or pace. The count of held back requests moved from the choice of the error to the request itself.

Measured: TestSurvey, TestWhereCommand (the upstream has run nothing afterwards).

--- a/commands/root.go
+++ b/commands/root.go
@@ -45,7 +45,7 @@
 		LongHelp: help(`
 Processes: entry, agent, control, node, dev, stand-in.
 Load tests and simulations: load, experiment.
-Operators: check, diff, apply, promote, topup, customer, budget, status, explain, drain,
+Operators: check, diff, apply, promote, topup, customer, budget, status, explain, where, drain,
 replace, write-off, order, keygen, version.
 
 Exit codes: 0 success; 1 failure; 2 invalid command line or file, nothing was
@@ -57,7 +57,7 @@
 `),
 		FlagSet: fs,
 		Subcommands: append([]*ffcli.Command{newEntry(t), newAgent(t), newControl(t), newNode(t)}, t.endedByHangup(
-			newDev(t), newCheck(t), newDiff(t), newExplain(t), newApply(t), newPromote(t), newTopUp(t), newCustomer(t), newBudget(t),
+			newDev(t), newCheck(t), newDiff(t), newExplain(t), newApply(t), newPromote(t), newTopUp(t), newCustomer(t), newBudget(t), newWhere(t),
 			newStatus(t), newDrain(t), newReplace(t), newWriteOff(t), newOrder(t), newKeygen(t), newStandIn(t),
 			newExperiment(t), newLoad(t), newVersion(t),
 		)...),
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -121,6 +121,8 @@
 	// idlePacedToo is set while paced upstreams without requests of this node may be chosen before
 	// their time.
 	idlePacedToo bool
+	// surveying is set while nothing that is used up by requests may change.
+	surveying bool
 	// recent holds this node's latest 16 outcomes, with a set bit for each failure.
 	recent uint16
 	// candidates, atHome and homes are buffers that each decision reuses.
--- a/core/sched/decision.go
+++ b/core/sched/decision.go
@@ -29,6 +29,11 @@
 	Evacuated Reason = "evacuated"
 	// OutsideRegions means that no upstream lies in a region that the request may go to.
 	OutsideRegions Reason = "outside_regions"
+	// Draining means that the upstream is about to shut down.
+	Draining Reason = "draining"
+	// Avoided means that the upstream has failed lately or wants no requests from another node. It
+	// gets one if there is no other.
+	Avoided Reason = "avoided"
 	// Paced means that the upstreams have started or recovered lately and get more requests later.
 	Paced Reason = "paced"
 	// RateLimited means that the upstreams name a limit that is reached.
--- a/core/sched/pacing.go
+++ b/core/sched/pacing.go
@@ -124,7 +124,7 @@
 	}
 	limit := t.limiter.opensIn(now, b.share)
 	paced := b.pacedFor(now, t)
-	if paced > 0 && t.pace != nil {
+	if paced > 0 && t.pace != nil && !b.surveying {
 		t.pace.Held(now)
 	}
 	return max(limit, paced), limit > 0
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -235,7 +235,9 @@
 		}
 		choice, ok := c.f.pick(c.query())
 		if !ok {
-			return c.noChoiceError(last)
+			failure := c.noChoiceError(last)
+			c.f.metrics.countHeldBack(failure)
+			return failure
 		}
 		res := c.tryUpstream(ctx, choice)
 		if res.final {
@@ -265,7 +267,7 @@
 	if !ok || last != errNoUpstream {
 		return last
 	}
-	failure := *c.f.openingError(opening)
+	failure := *openingError(opening)
 	spread := time.Duration(xxhash.Sum64String(c.id) % uint64(retrySpread))
 	failure.retryAfter = max(failure.retryAfter, opening.In) + spread
 	return &failure
--- a/io/front/cold.go
+++ b/io/front/cold.go
@@ -39,10 +39,9 @@
 
 // openingError returns the error of a request for which all upstreams get no requests until an
 // opening.
-func (f *Front) openingError(o sched.Opening) *responseError {
+func openingError(o sched.Opening) *responseError {
 	switch {
 	case o.Paced:
-		f.metrics.heldBack.Add(context.Background(), 1)
 		return errUpstreamPaced
 	case o.Paused:
 		return errUpstreamPaused
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -94,3 +94,10 @@
 	}
 	m.quarantines.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
 }
+
+// countHeldBack counts a request that found only upstreams that are paced.
+func (m *metrics) countHeldBack(failure *responseError) {
+	if failure.code == errUpstreamPaced.code {
+		m.heldBack.Add(context.Background(), 1)
+	}
+}
