--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -34,6 +34,8 @@
 			"end":     sim.stepEnd,
 			"begin":   sim.stepBegin,
 			"begin2":  sim.stepBegin,
+			"begin3":  sim.stepBegin,
+			"begin4":  sim.stepBegin,
 			"state":   sim.stepStatement,
 			"state2":  sim.stepStatement,
 			"greedy":  sim.stepReserveAll,
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -145,6 +145,9 @@
 		h.waiting = append(h.waiting, r)
 		return
 	}
+	if rapid.IntRange(0, 3).Draw(t, "begins later") > 0 {
+		sim.begin(h, &r)
+	}
 	h.running = append(h.running, r)
 }
 
