Bill streams that callers leave, and waive only prompts of streams that were broken off

Cause: the part as merged billed nothing of any stream that ended before the last quarter of its time, up to a tenth of what whole responses cost.

Change: a caller that leaves pays for the prompt and for what it received, as before. Only the prompt of a stream that its upstream or this system broke off is waived, up to a twentieth.

--- a/core/quota/waiver.go
+++ b/core/quota/waiver.go
@@ -1,15 +1,14 @@
 package quota
 
-// Waivers bounds what customers are not billed for streams that ended midway. A customer whose
-// callers would leave each stream before its end pays for nearly all of them: only a share of what
-// it was billed for whole responses is waived.
+// Waivers bounds what customers are not billed for streams that were broken off: only a share of
+// what they were billed for whole responses is waived.
 type Waivers struct {
 	// left holds what may still be waived, by customer.
 	left map[string]float64
 }
 
 // waivedShare is the share of what whole responses were billed that may be waived.
-const waivedShare = 0.1
+const waivedShare = 0.05
 
 // NewWaivers returns waivers with nothing to waive.
 func NewWaivers() *Waivers { return &Waivers{left: map[string]float64{}} }
--- a/io/front/bill.go
+++ b/io/front/bill.go
@@ -48,8 +48,9 @@
 }
 
 // settle settles the reservation. A customer is billed the prompt and the output that was passed
-// on. A stream that ended midway before its time costs nothing as far as the customer's waivers
-// reach: its caller may send the request again, and would pay the prompt twice.
+// on. The prompt of a stream that its upstream or this system broke off is waived as far as the
+// customer's waivers reach: the caller may send the request again, and would pay it twice. Who
+// leaves a stream of its own choice pays for it.
 func (c *call) settle(failure *responseError) {
 	c.ended = c.ending(failure)
 	if c.customer != "" && c.billed > 0 {
@@ -59,7 +60,7 @@
 	c.f.deps.Budgets.Settle(c.reservation, c.billed)
 }
 
-// waive returns the part of the bill that is waived.
+// waive returns the part of the prompt that is waived.
 func (c *call) waive() quota.Tokens {
 	ws := &c.f.waivers
 	ws.mu.Lock()
@@ -68,10 +69,10 @@
 		ws.w.Whole(c.customer, c.billed)
 		return 0
 	}
-	if c.ended == endDeadline || c.stream == nil {
+	if c.ended != endUpstream && c.ended != endSystem || c.stream == nil {
 		return 0
 	}
-	return ws.w.Waive(c.customer, c.billed)
+	return ws.w.Waive(c.customer, min(c.billed, quota.Tokens(c.info.Input)))
 }
 
 // forget deletes the waivers of customers that the policy does not name.
