Wait for the upload in the agent too, and choose who yields regardless of the order of a map

The agent now waits for the result of writing the request. TestStalledUploadYields failed in one run: of two uploads with equal progress either could yield.

--- a/core/upload/meter.go
+++ b/core/upload/meter.go
@@ -86,7 +86,7 @@
 		if v == id || h.complete || h.yielding || h.bytes <= bytes {
 			continue
 		}
-		if largest == 0 || h.bytes > m.held[largest].bytes {
+		if l := m.held[largest]; largest == 0 || h.bytes > l.bytes || h.bytes == l.bytes && v < largest {
 			largest = v
 		}
 	}
@@ -101,7 +101,7 @@
 		if v == id || h.complete || h.yielding || h.bytes == 0 || now.Sub(h.progressAt) < Grace {
 			continue
 		}
-		if oldest == 0 || h.progressAt.Before(m.held[oldest].progressAt) {
+		if o := m.held[oldest]; oldest == 0 || h.progressAt.Before(o.progressAt) || h.progressAt.Equal(o.progressAt) && v < oldest {
 			oldest = v
 		}
 	}
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -100,7 +100,14 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return c.receive(resp)
+	if err := c.receive(resp); err != nil {
+		return err
+	}
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
+		return nil
+	}
+	// A reset while the request is being written looks like the end of a response without a length.
+	return sent.Written(ctx)
 }
 
 func (c *call) request(ctx context.Context) (*http.Request, error) {
