Correct slowdowns that nothing corrected, and tell them on one scale

Cause (review of the learned speeds): an engine with a high slowdown gets no prompts, so nothing corrected it after it had recovered. A node that has just started does not know the speed of the service, so the slowdowns that it told, relative to its initial estimate, were wrong for others. FirstToken and Ended counted what happened to requests of an earlier incarnation for the next one. The first token of a prompt of one part was not noticed, so the engine counted as overdue until the stream ended.

Ruled out: telling a slowdown only once the sender knows the speed. With 30 nodes and a few requests each, none would tell any (TestSlowEngineIsKnownToAllNodes).

Change: without a prompt of any node for 2 s a slowdown is halved, and what is seen then counts more. Slowdowns are told relative to the initial estimates, for a prompt of 5000 tokens. Outcomes count only for the incarnation that the request was sent to; the choices of the tests of failures now name it.

--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -196,23 +196,28 @@
 		l.change(now, 1)
 		return c, Update{Kind: Occupied, Upstream: t.hash, Occupies: t.places.occupied}, b.crowded(now, l, t.up.Service) || t.limiter != nil
 	}
+	t.triedAt = now
 	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
 	if len(q.Parts) > maxUpdateParts {
 		return c, u, t.limiter != nil
 	}
-	u.Uncached, u.Parts, u.Slowdown = c.Uncached, q.Parts, t.evidence
+	u.Uncached, u.Parts = c.Uncached, q.Parts
+	u.Slowdown = t.evidence * t.speed.nominal()
 	t.evidence = 0
 	return c, u, true
 }
 
 // FirstToken updates the estimates from an observed time to first token.
 func (b *Balancer) FirstToken(c Choice, took time.Duration) {
-	t, ok := b.targets[c.Upstream.ID]
-	if !ok || c.Rank < 0 {
+	t, ok := b.chosen(c)
+	if !ok {
 		return
 	}
 	t.clearPending(c.Ticket)
+	if c.Rank < 0 {
+		return
+	}
 	if c.Fetched == 0 {
 		t.speed.observe(c.Uncached+c.waitTokens, took)
 	}
@@ -225,7 +230,7 @@
 	if !c.sent.at.IsZero() {
 		b.recordLoad(now, c.Upstream.Service, o)
 	}
-	t, ok := b.targets[c.Upstream.ID]
+	t, ok := b.chosen(c)
 	if !ok {
 		return Update{}, false
 	}
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -27,7 +27,9 @@
 	return out
 }
 
-func choice(id string) sched.Choice { return sched.Choice{Upstream: fleet.Upstream{ID: id}, Rank: -1} }
+func choice(id string) sched.Choice {
+	return sched.Choice{Upstream: fleet.Upstream{ID: id, Born: start}, Rank: -1}
+}
 
 func noKVTokens(string) sched.Engine { return sched.Engine{} }
 
--- a/core/sched/speed.go
+++ b/core/sched/speed.go
@@ -27,6 +27,8 @@
 	longPrompt, shortPrompt = 1500, 300
 	// leastOverhead and leastPerToken bound the estimates, in seconds.
 	leastOverhead, leastPerToken = 0.002, 1e-7
+	// standardPrompt is the number of tokens of the prompts that slowdowns of all nodes refer to.
+	standardPrompt = 5000
 )
 
 func newSpeed() *speed {
@@ -44,6 +46,14 @@
 	}
 }
 
+// nominal returns the usual time to prefill standardPrompt relative to the initial estimate.
+// Slowdowns are told to other nodes with it, since a node that has just started does not know the
+// speed of the service yet.
+func (s *speed) nominal() float64 {
+	const initial = standardPrompt/float64(initialRate) + float64(initialOverhead)/float64(time.Second)
+	return (s.overhead.value + s.perToken.value*standardPrompt) / initial
+}
+
 // tokens returns the number of tokens that are usually prefilled in a time.
 func (s *speed) tokens(d time.Duration) int { return int(d.Seconds() / s.perToken.value) }
 
--- a/core/sched/speed_test.go
+++ b/core/sched/speed_test.go
@@ -7,6 +7,7 @@
 
 	"dotterelgap/core/sched"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 )
 
@@ -94,3 +95,80 @@
 	}
 	is.True(sent["model-0"] < 40/4/2)
 }
+
+// Guards against an engine that was slow getting nothing for good: after it has recovered, it is
+// tried again.
+func TestRecoveredEngineIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newSpeedSim(14, 4, 11*time.Microsecond, nil)
+	for range 100 {
+		s.request(1)
+	}
+	for _, n := range s.nodes {
+		for range 40 {
+			n.OnUpdate(s.now, sched.Update{Kind: sched.Placement, Upstream: xxhash.Sum64String("model-0"), Slowdown: 20})
+		}
+	}
+	for range 150 {
+		s.request(1)
+	}
+	sent := 0
+	for range 160 {
+		if c, _ := s.request(1); c.Upstream.ID == "model-0" {
+			sent++
+		}
+	}
+	is.True(sent > 160/4/3) // a third of its part, from 15 s on
+}
+
+// Guards against nodes that have just started, and do not know the speed of a service yet,
+// telling others that an engine is faster or slower than it is.
+func TestNewNodesTellNoWrongSlowdown(t *testing.T) {
+	is := is.New(t)
+	s := newSpeedSim(1, 1, 11*time.Microsecond, nil)
+	for range 60 {
+		s.request(1)
+	}
+	old := s.nodes[0]
+	for range 12 {
+		s.nodes = []*sched.Balancer{newBalancer(1), old}
+		s.requests = 1 // the new node sends this and the third request
+		for range 3 {
+			s.request(1)
+		}
+	}
+	c, _ := old.Pick(s.now.Add(time.Second), prompt("plan", "s", "r"))
+	is.True(c.Slowdown > 0.85)
+	is.True(c.Slowdown < 1.15)
+}
+
+// Guards against what happened to requests of an earlier incarnation counting for the next one.
+func TestIncarnationsAreApart(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(1)
+	q := prompt("plan", "s", "r")
+	old, _ := b.Pick(start, q)
+	old, _, _ = b.Started(start, q, old)
+	ups := upstreams("model", 1)
+	ups[0].Born = start.Add(time.Second)
+	b.SetUpstreams(ups, noKVTokens)
+	c, _ := b.Pick(start, q)
+	b.Started(start, q, c)
+	b.FirstToken(old, 10*time.Second)
+	b.Ended(start, old, sched.Served)
+	next, _ := b.Pick(start.Add(time.Second), q)
+	is.Equal(next.InFlight, 1)
+	is.Equal(next.Slowdown, 1.0)
+}
+
+// Guards against a prompt of one part whose first token has arrived counting as overdue.
+func TestFirstTokenOfOnePartArrives(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(1)
+	q := sched.Query{Service: "model", Parts: sched.Keys([]sched.Part{{ID: "own", Tokens: 100}}), Input: 100}
+	c, _ := b.Pick(start, q)
+	c, _, _ = b.Started(start, q, c)
+	b.FirstToken(c, 50*time.Millisecond)
+	next, _ := b.Pick(start.Add(3*time.Second), prompt("plan", "s", "r"))
+	is.Equal(next.Wait, time.Duration(0))
+}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -30,6 +30,9 @@
 	minFirstToken = 30 * time.Millisecond
 	// overdueMargin is the time after which an expected first token counts as overdue.
 	overdueMargin = 500 * time.Millisecond
+	// untriedTime is the time without a request of any node after which a slowdown is halved, since
+	// nothing else corrects that of an engine that has recovered.
+	untriedTime = 2 * time.Second
 )
 
 // target is a node's view of one upstream.
@@ -50,6 +53,9 @@
 	// evidence is the slowdown that the latest first token at this node showed, until the other
 	// nodes are told; 0 if there is none.
 	evidence float64
+	// triedAt is when a node sent a prompt to the engine, or the slowdown was halved for the lack of
+	// one.
+	triedAt time.Time
 	// pending holds the requests of this node that wait for their first token.
 	pending    []pendingToken
 	lastTicket uint64
@@ -151,6 +157,15 @@
 	return time.Duration(t.slowdown.value * float64(d))
 }
 
+// fadeSlowdown lets an engine that was slow be tried again after a time. What it then shows counts
+// more than what was known.
+func (t *target) fadeSlowdown(now time.Time) {
+	if t.slowdown.value > 1 && now.Sub(t.triedAt) >= untriedTime {
+		t.slowdown = newCenter(max(t.slowdown.value/2, 1), slowdownMemory)
+		t.triedAt = now
+	}
+}
+
 // recordPlacement records that a prompt was sent to the engine.
 func (t *target) recordPlacement(now time.Time, parts []PartKey, uncached int) {
 	t.work = t.backlog(now) + t.prefillTime(uncached)
@@ -166,6 +181,8 @@
 		return
 	}
 	ratio := float64(took) / float64(max(idle+wait, minFirstToken))
-	t.evidence = min(max(t.slowdown.value*ratio, minSlowdown), maxSlowdown)
+	t.evidence = boundSlowdown(t.slowdown.value * ratio)
 	t.slowdown.observe(t.evidence)
 }
+
+func boundSlowdown(s float64) float64 { return min(max(s, minSlowdown), maxSlowdown) }
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -38,8 +38,8 @@
 	// placement of a prompt with these parts.
 	Uncached int
 	Parts    []PartKey
-	// Slowdown is the slowdown of the upstream that the sender's latest first token showed; 0 if
-	// there was none since its latest update.
+	// Slowdown is the slowdown of the upstream that the sender's latest first token showed, relative
+	// to the initial estimates; 0 if there was none since its latest update.
 	Slowdown float64
 	// Occupies is the estimated time for which a request without a prompt takes a place of the
 	// upstream; 0 if the sender does not know it.
@@ -162,7 +162,7 @@
 	if n == 0 {
 		return 0
 	}
-	return min(max(math.Exp2((float64(n)-slowdownOne)/slowdownSteps), minSlowdown), maxSlowdown)
+	return math.Exp2(float64(min(n, 2*slowdownOne)-slowdownOne) / slowdownSteps)
 }
 
 // OnUpdate applies an update from another node.
@@ -186,8 +186,9 @@
 		t.avoidUntil = now.Add(u.Pause)
 	case Placement:
 		if u.Slowdown > 0 {
-			t.slowdown.observe(u.Slowdown)
+			t.slowdown.observe(boundSlowdown(u.Slowdown / t.speed.nominal()))
 		}
+		t.triedAt = now
 		t.recordPlacement(now, u.Parts, u.Uncached)
 		t.limiter.sent(now, b.share)
 	case Occupied:
