Send engines no request that their memory has no room for, and give up callers that read slowly

Cause: nothing counted the tokens that the running requests of all nodes hold of an engine's memory, and an engine that is brought over it crashes. A caller that stopped reading had 2 MB of a response in the node's kernel (stand-in of 2 MB: written by the upstream within 0.1 s while the caller read nothing), left an upstream unread for up to 5 s a write, and a response that is not a stream waited for it without bound.

Ruled out: one duration for all requests of others (a stalled engine's requests and streams differ by ten times); leaving out nothing below a share of the memory (14 nodes whose news are a second late bring an engine over it all the same: mutant). Own write deadlines need not be cleared: net/http does after each response.

Change: with admission, an engine gets a request only within a safe part (0.8) of its memory: own requests exactly, others' for 1.5 times the duration that their node expects. What was placed within the last second uses this node's part of what is free, since others may not know of it. Half of each is left to requests that still fit, for large prompts. Full: 503 not_admitted; larger than the memory: 413 prompt_too_large. Writes to callers have 1 s, then the caller is given up (caller_slow). Send buffers of callers have 16 KB, receive buffers of upstreams 64 KB.

--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -45,6 +45,9 @@
 	if c.Fetched > 0 {
 		addInt("fetched", c.Fetched)
 	}
+	if c.Holds > 0 {
+		addInt("holds", c.Holds)
+	}
 	addDuration("wait", c.Wait.Round(time.Millisecond))
 	addFloat("slow", float64(int(c.Slowdown*100))/100)
 }
@@ -76,6 +79,8 @@
 	// SharePlaces is set if the nodes tell each other of requests without prompts, so that each
 	// knows which places of the upstreams are taken.
 	SharePlaces bool
+	// GuardMemory is set if engines get no request for which their KV memory has no room.
+	GuardMemory bool
 }
 
 // DefaultOptions returns the options that nodes use.
@@ -103,6 +108,8 @@
 	// share is the share of an upstream's limit that the nodes in contact with this one may
 	// use.
 	share float64
+	// nodes is the number of nodes in contact with this one.
+	nodes int
 	// recent holds this node's latest 16 outcomes, with a set bit for each failure.
 	recent uint16
 	// candidates, atHome and homes are buffers that each decision reuses.
@@ -116,7 +123,7 @@
 // New returns a balancer without upstreams, for a node in the given place.
 func New(opts Options, place fleet.Place) *Balancer {
 	return &Balancer{
-		opts: opts, place: place, share: 1,
+		opts: opts, place: place, share: 1, nodes: 1,
 		loads: map[string]*serviceLoad{}, loadByHash: map[uint64]*serviceLoad{},
 		targets: map[string]*target{}, byHash: map[uint64]*target{}, services: map[string][]*target{},
 		speeds: map[string]*speed{},
@@ -186,6 +193,7 @@
 	}
 	t.inFlight++
 	t.limiter.sent(now, b.share)
+	c.held = t.hold(now, q)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
 		if !b.opts.SharePlaces {
@@ -196,6 +204,7 @@
 		l.change(now, 1)
 		return c, Update{Kind: Occupied, Upstream: t.hash, Occupies: t.places.occupied}, b.crowded(now, l, t.up.Service) || t.limiter != nil
 	}
+	u.Holds, u.Lasts = q.need(), t.lasts(q, c)
 	t.triedAt = now
 	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
@@ -235,12 +244,16 @@
 		return Update{}, false
 	}
 	t.clearPending(c.Ticket)
+	t.release(c.held)
 	t.inFlight = max(t.inFlight-1, 0)
 	if !c.sent.at.IsZero() {
 		t.recordPlace(now, c.sent, o)
 	}
 	switch o {
 	case Served:
+		if c.held.output > 0 {
+			t.speed.observeOutput(c.held.output, now.Sub(c.held.at)-c.firstTokenIn())
+		}
 		b.recent <<= 1
 		t.health.recordSuccess()
 		t.ejectedUntil = time.Time{}
--- a/core/sched/decision.go
+++ b/core/sched/decision.go
@@ -37,6 +37,8 @@
 	UpstreamPaused Reason = "paused"
 	// Full means that the places or the memory of the upstreams are taken.
 	Full Reason = "full"
+	// TooLarge means that the upstreams' memory can't hold the prompt and the output.
+	TooLarge Reason = "too_large"
 	// Late means that the response would be later than the objective or the deadline.
 	Late Reason = "late"
 	// Overloaded means that this entry has no capacity left.
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -38,6 +38,9 @@
 			closed = true
 			continue
 		}
+		if !b.fits(now, t, q.need()) {
+			continue
+		}
 		b.candidates = append(b.candidates, candidate{t: t, rank: ranks})
 		if sticky {
 			b.rank(home{t, mix(key ^ t.hash)}, ranks)
@@ -161,7 +164,7 @@
 	c := candidates[best]
 	chosen := Choice{
 		Upstream: c.t.up, InFlight: c.t.inFlight, Rank: c.rank, Uncached: c.uncached, Wait: c.t.wait(now), Slowdown: c.t.slowdown.value,
-		Prefill: c.t.prefillTime(c.uncached) + c.fetchTime(), Overhead: c.t.overhead(),
+		Prefill: c.t.prefillTime(c.uncached) + c.fetchTime(), Overhead: c.t.overhead(), Holds: c.t.holds(now),
 	}
 	chosen.waitTokens = c.t.speed.tokens(time.Duration(float64(chosen.Wait) / c.t.slowdown.value))
 	if c.fetched > 0 {
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -91,6 +91,9 @@
 	Ticket uint64
 	// sent is the upstream's state when the request was sent, if it has no prompts.
 	sent sent
+	// Holds is the number of tokens that known requests held of the engine's memory before.
+	Holds int
+	held  held
 }
 
 // Overdue reports whether the first token should have arrived after this time.
--- a/core/sched/speed.go
+++ b/core/sched/speed.go
@@ -11,6 +11,9 @@
 	// overhead is the part of the time to the first token that does not depend on the length of
 	// the prompt, and perToken the time to prefill one token, both in seconds.
 	overhead, perToken center
+	// perOutput is the time from the first token to the end by the tokens that may be generated,
+	// in seconds.
+	perOutput center
 }
 
 // Initial estimates for a service that has not been observed yet.
@@ -18,6 +21,8 @@
 	// initialRate is the number of prompt tokens that an engine prefills per second.
 	initialRate     = 30_000
 	initialOverhead = 50 * time.Millisecond
+	// initialOutput is the time per token that is generated.
+	initialOutput = 10 * time.Millisecond
 )
 
 // Which first tokens an estimate is taken from.
@@ -32,7 +37,10 @@
 )
 
 func newSpeed() *speed {
-	return &speed{overhead: newCenter(initialOverhead.Seconds(), speedMemory), perToken: newCenter(1.0/initialRate, speedMemory)}
+	return &speed{
+		overhead: newCenter(initialOverhead.Seconds(), speedMemory), perToken: newCenter(1.0/initialRate, speedMemory),
+		perOutput: newCenter(initialOutput.Seconds(), speedMemory),
+	}
 }
 
 // observe takes the time to a first token into account. tokens is the estimated number that the
@@ -46,6 +54,17 @@
 	}
 }
 
+// observeOutput takes the time from the first token to the end of a response into account. output
+// is the number of tokens that might have been generated.
+func (s *speed) observeOutput(output int, took time.Duration) {
+	s.perOutput.observe(max(took.Seconds()/float64(output), leastPerToken))
+}
+
+// outputTime returns the usual time from the first token to the end of a response.
+func (s *speed) outputTime(output int) time.Duration {
+	return seconds(s.perOutput.value * float64(output))
+}
+
 // nominal returns the usual time to prefill standardPrompt relative to the initial estimate.
 // Slowdowns are told to other nodes with it, since a node that has just started does not know the
 // speed of the service yet.
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -60,6 +60,7 @@
 	pending    []pendingToken
 	lastTicket uint64
 	health     health
+	memory     memory
 	// places counts what is in flight at an upstream without prompts.
 	places places
 	// limiter is nil while the upstream names no limit.
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -41,6 +41,10 @@
 	// Slowdown is the slowdown of the upstream that the sender's latest first token showed, relative
 	// to the initial estimates; 0 if there was none since its latest update.
 	Slowdown float64
+	// Holds is the most tokens that the request of a placement holds of the upstream's memory, and
+	// Lasts how long it is expected to.
+	Holds int
+	Lasts time.Duration
 	// Occupies is the estimated time for which a request without a prompt takes a place of the
 	// upstream; 0 if the sender does not know it.
 	Occupies time.Duration
@@ -58,6 +62,9 @@
 // occupiesUnit is the unit in which Occupies is encoded.
 const occupiesUnit = 100 * time.Microsecond
 
+// lastsUnit is the unit in which Lasts is encoded.
+const lastsUnit = 50 * time.Millisecond
+
 // loadUnit is the unit in which a load is encoded.
 const loadUnit = 0.01
 
@@ -86,6 +93,8 @@
 func (u Update) appendPlacement(b []byte) []byte {
 	b = binary.AppendUvarint(b, encodeSlowdown(u.Slowdown))
 	b = binary.AppendUvarint(b, uint64(u.Uncached))
+	b = binary.AppendUvarint(b, uint64(u.Holds))
+	b = binary.AppendUvarint(b, uint64(min(max((u.Lasts+lastsUnit-1)/lastsUnit, 0), codec.MaxCount)))
 	b = binary.AppendUvarint(b, uint64(len(u.Parts)))
 	for _, p := range u.Parts {
 		b = binary.LittleEndian.AppendUint64(b, p.Key)
@@ -119,6 +128,8 @@
 func (u Update) parsePlacement(r *codec.Reader) (Update, bool) {
 	u.Slowdown = decodeSlowdown(r.Count())
 	u.Uncached = r.Count()
+	u.Holds = r.Count()
+	u.Lasts = time.Duration(r.Count()) * lastsUnit
 	parts := r.Count()
 	if !r.OK() || parts > maxUpdateParts {
 		return Update{}, false
@@ -189,7 +200,8 @@
 			t.slowdown.observe(boundSlowdown(u.Slowdown / t.speed.nominal()))
 		}
 		t.triedAt = now
-		t.recordPlacement(now, u.Parts, u.Uncached)
+		t.recordPlacement(now, u.Parts, t.bounded(u.Uncached))
+		t.heldByOther(now, u.Holds, u.Lasts)
 		t.limiter.sent(now, b.share)
 	case Occupied:
 		t.placedByOther(now, u.Occupies)
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -160,7 +160,7 @@
 	if err := p.reserve(addr); err != nil {
 		return nil, err
 	}
-	d := net.Dialer{KeepAlive: -1, Control: p.setUserTimeout}
+	d := net.Dialer{KeepAlive: -1, Control: p.setOptions}
 	raw, err := d.DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
 		p.closed(addr)
@@ -176,13 +176,18 @@
 // bytes may stay unacknowledged, in milliseconds.
 const tcpUserTimeout = 18
 
-// setUserTimeout sets the socket option of a new connection.
-func (p *Pool) setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var optErr error
+// receiveBuffer limits what the kernel holds of an unread response, in bytes; Linux doubles it for
+// its own overhead.
+const receiveBuffer = 64 << 10
+
+// setOptions sets the socket options of a new connection.
+func (p *Pool) setOptions(_, _ string, c syscall.RawConn) error {
+	var timeoutErr, bufferErr error
 	err := c.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(p.opts.UserTimeout.Milliseconds()))
+		timeoutErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(p.opts.UserTimeout.Milliseconds()))
+		bufferErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 	})
-	return errors.Join(err, optErr)
+	return errors.Join(err, timeoutErr, bufferErr)
 }
 
 // put returns a connection to the pool, or closes it if the pool is closed or has enough
--- a/io/front/admit.go
+++ b/io/front/admit.go
@@ -187,10 +187,15 @@
 	if last != errNoUpstream || !c.f.admission.tooLate(c.query(), choice) {
 		return c.noChoiceError(last)
 	}
-	c.admitted.decision = sched.Decision{Action: sched.Reject, Reason: sched.Late}
+	return c.notAdmitted(sched.Late, choice.TooLate(c.query()))
+}
+
+// notAdmitted returns the response to a request that is rejected because of the upstreams' load.
+func (c *call) notAdmitted(reason sched.Reason, after time.Duration) *responseError {
+	c.admitted.decision = sched.Decision{Action: sched.Reject, Reason: reason}
 	c.f.metrics.countAdmission(c.admitted)
 	failure := *errNotAdmitted
-	failure.retryAfter = choice.TooLate(c.query()) + time.Duration(xxhash.Sum64String(c.id)%uint64(retrySpread))
+	failure.retryAfter = after + time.Duration(xxhash.Sum64String(c.id)%uint64(retrySpread))
 	return &failure
 }
 
--- a/io/front/admit_test.go
+++ b/io/front/admit_test.go
@@ -28,6 +28,7 @@
 type desk struct {
 	front   *front.Front
 	url     string
+	addr    netip.AddrPort
 	arrived chan string
 	finish  chan struct{}
 }
@@ -69,8 +70,8 @@
 		}},
 		Services: []policy.Service{{Name: "pay"}},
 	}))
-	addr := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
-	d.front.SetUpstreams([]fleet.Upstream{{ID: "i-1", Service: "pay", Addr: addr, Slots: 1}})
+	d.addr = netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	d.front.SetUpstreams([]fleet.Upstream{{ID: "i-1", Service: "pay", Addr: d.addr, Slots: 1}})
 	return d
 }
 
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -141,7 +141,10 @@
 		c.copyResponseHeader(a.Header)
 		c.w.Header().Set("Content-Length", strconv.Itoa(buf.Len()))
 		c.writeHead(a.Status)
-		_, _ = c.w.Write(buf.Bytes())
+		if _, err := c.response.Write(buf.Bytes()); c.response.slow() {
+			c.relayed, c.lastErr = true, err
+			return attemptResult{outcome: sched.Served, final: true, failure: errCallerSlow}
+		}
 		if a.Status < http.StatusBadRequest {
 			c.f.guard.answered(c.shared)
 		}
@@ -195,8 +198,11 @@
 	}
 	c.writeHead(a.Status)
 	c.relayed = true
-	if _, err := io.Copy(c.w, io.MultiReader(head, a.Body)); err != nil {
+	if _, err := io.Copy(c.response, io.MultiReader(head, a.Body)); err != nil {
 		c.lastErr = err
+		if c.response.slow() {
+			return attemptResult{outcome: sched.Canceled, final: true, failure: errCallerSlow}
+		}
 		if ctx.Err() != nil {
 			return attemptResult{outcome: sched.Canceled, final: true, failure: errTimeout}
 		}
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -43,6 +43,8 @@
 	relayed    bool // part of the response was forwarded as it arrived
 	lastErr    error
 	stream     *streamRelay
+	// response writes what upstreams answered.
+	response *responseWriter
 
 	// firstByteAt is when the first byte of the response was sent to the caller.
 	firstByteAt time.Time
@@ -62,9 +64,10 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.calls.Add(1)
 	defer f.calls.Done()
-	c := &call{f: f, w: w, r: r, start: time.Now(), id: r.Header.Get(f.deps.Dialect.RequestID)}
+	c := &call{f: f, w: w, r: r, start: time.Now(), id: r.Header.Get(f.deps.Dialect.RequestID), response: newResponseWriter(w)}
 	c.reservation = strconv.FormatUint(f.requests.Add(1), 36)
 	failure := c.serve()
+	c.response.extendDeadline()
 	if failure != nil && !c.relayed {
 		if c.id != "" {
 			w.Header().Set(f.deps.Dialect.RequestID, c.id)
@@ -237,10 +240,13 @@
 	if failure := c.barredError(); failure != nil && last == errNoUpstream {
 		return failure
 	}
-	opening, ok := c.f.opensIn(c.query())
-	if !ok || last != errNoUpstream {
+	if last != errNoUpstream {
 		return last
 	}
+	opening, ok := c.f.opensIn(c.query())
+	if !ok {
+		return c.memoryError()
+	}
 	failure := *errUpstreamLimited
 	if opening.Paused {
 		failure = *errUpstreamPaused
@@ -250,6 +256,19 @@
 	return &failure
 }
 
+// memoryError returns the response to a request that the upstreams' memory has no room for, or
+// errNoUpstream if that is not the cause.
+func (c *call) memoryError() *responseError {
+	reason, ok := c.f.memoryReason(c.query())
+	switch {
+	case !ok:
+		return errNoUpstream
+	case reason == sched.TooLarge:
+		return errPromptTooLarge
+	}
+	return c.notAdmitted(reason, errNoUpstream.retryAfter)
+}
+
 // tryUpstream makes one attempt at the chosen upstream and records its result.
 func (c *call) tryUpstream(ctx context.Context, choice sched.Choice) attemptResult {
 	u := choice.Upstream
--- a/io/front/errors.go
+++ b/io/front/errors.go
@@ -16,13 +16,14 @@
 	retryAfter time.Duration
 }
 
-// The error responses that are the same for every request. All except the last two
+// The error responses that are the same for every request. All except the last three
 // state that the request did not run and never will.
 var (
 	errNoPolicy        = &responseError{status: http.StatusServiceUnavailable, code: "not_ready", retryAfter: 500 * time.Millisecond}
 	errNoRoute         = &responseError{status: http.StatusNotFound, code: "no_such_route"}
 	errUnknownKey      = &responseError{status: http.StatusUnauthorized, code: "unknown_key"}
 	errTooLarge        = &responseError{status: http.StatusRequestEntityTooLarge, code: "body_too_large"}
+	errPromptTooLarge  = &responseError{status: http.StatusRequestEntityTooLarge, code: "prompt_too_large"}
 	errBadBody         = &responseError{status: http.StatusBadRequest, code: "bad_body"}
 	errBadTokens       = &responseError{status: http.StatusBadRequest, code: "bad_tokens"}
 	errSlowBody        = &responseError{status: http.StatusRequestTimeout, code: "slow_body"}
@@ -36,6 +37,7 @@
 	errUpstreamFull    = &responseError{status: http.StatusServiceUnavailable, code: "upstream_full", retryAfter: 300 * time.Millisecond}
 	errNotAdmitted     = &responseError{status: http.StatusServiceUnavailable, code: "not_admitted"}
 	errInDoubt         = &responseError{status: http.StatusBadGateway, code: "in_doubt"}
+	errCallerSlow      = &responseError{status: http.StatusGatewayTimeout, code: "caller_slow"}
 	errTimeout         = &responseError{status: http.StatusGatewayTimeout, code: "timeout"}
 )
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -109,12 +109,14 @@
 		Handler: f,
 		// "OPTIONS *" is a request as any other.
 		DisableGeneralOptionsHandler: true,
-		ConnContext:                  connections.onConnect,
-		ConnState:                    connections.onState,
-		ReadHeaderTimeout:            headerTimeout,
-		IdleTimeout:                  idleTimeout,
-		MaxHeaderBytes:               headerBytes,
-		ErrorLog:                     zap.NewStdLog(deps.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return connections.onConnect(boundSendBuffer(ctx, c), c)
+		},
+		ConnState:         connections.onState,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(deps.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	f.wg.Go(func() { _ = f.http.Serve(deps.Listener) })
 	return f
@@ -124,6 +126,7 @@
 func (d Deps) schedOptions() sched.Options {
 	opts := d.Sched
 	opts.SharePlaces = opts.SharePlaces || d.Admission
+	opts.GuardMemory = opts.GuardMemory || d.Admission
 	return opts
 }
 
@@ -171,6 +174,7 @@
 	defer f.mu.Unlock()
 	f.entries = e
 	f.balancer.SetShare(e.Side())
+	f.balancer.SetNodes(e.Alive)
 	for _, b := range f.retries {
 		b.SetBurst(e.Burst(f.deps.Retry.Burst))
 	}
@@ -275,6 +279,13 @@
 	return f.balancer.OpensIn(time.Now(), q)
 }
 
+// memoryReason returns why the memory of the upstreams leaves none for a request.
+func (f *Front) memoryReason(q sched.Query) (r sched.Reason, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.MemoryReason(time.Now(), q)
+}
+
 func (f *Front) recordEnd(c sched.Choice, o sched.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"dotterelgap/core/quota"
@@ -18,41 +17,35 @@
 	// maxEventSize limits the size of one event; a stream with a longer one counts as
 	// broken.
 	maxEventSize = 64 << 10
-	// writeTimeout limits the duration of one write to a slow caller.
-	writeTimeout = 5 * time.Second
 )
 
 // streamRelay relays the events of a stream to the caller. It writes only complete
 // events, since a connection to an upstream may break in the middle of one.
 type streamRelay struct {
 	c       *call
-	rc      *http.ResponseController
 	pending []byte
 	lastID  string
 	events  int
 	// lastEventAt is when the latest event arrived.
 	lastEventAt time.Time
-	// writeErr is the error of the first write to the caller that failed.
-	writeErr error
 }
 
 // relayStream relays a stream to the caller. If the connection to the upstream breaks, the
 // rest of the stream can be fetched from another upstream only if the route is resumable.
 func (c *call) relayStream(ctx context.Context, a *conns.Response) attemptResult {
 	if c.stream == nil {
-		c.stream = &streamRelay{c: c, rc: http.NewResponseController(c.w)}
+		c.stream = &streamRelay{c: c}
 	}
 	s := c.stream
 	s.pending = s.pending[:0]
 	err := s.copy(a)
-	_ = s.rc.SetWriteDeadline(time.Time{})
 	c.billed = s.billed()
 	switch {
 	case err == nil:
 		return finalResult(sched.Served)
-	case s.writeErr != nil:
-		c.lastErr = s.writeErr
-		return attemptResult{outcome: sched.Canceled, final: true, failure: errTimeout}
+	case c.response.err != nil:
+		c.lastErr = c.response.err
+		return attemptResult{outcome: sched.Canceled, final: true, failure: c.response.failure()}
 	case ctx.Err() != nil:
 		c.lastErr = context.Cause(ctx)
 		return attemptResult{outcome: c.relayStopOutcome(), final: true, failure: errTimeout}
@@ -161,16 +154,8 @@
 
 func (s *streamRelay) write(a *conns.Response, data []byte) error {
 	s.writeHead(a)
-	_ = s.rc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := s.c.w.Write(data); err != nil {
-		s.writeErr = err
-		return err
-	}
-	if err := s.rc.Flush(); err != nil {
-		s.writeErr = err
-		return err
-	}
-	return nil
+	_, err := s.c.response.Write(data)
+	return err
 }
 
 // finish completes the response. A stream that ends within an event has been broken off.
