Let nodes use more of an engine's memory before they know of each other's requests

Ruled out (simulation, one seed): twice the part (604,200 of 600,000 held); no room kept within a part (large prompts served less than a third as often as small ones); half a second of delay (the same).

Change: parts times 1.5. Simulation, 6 seeds: at most 509,900 of 600,000 held; prompts of 25,000 tokens are served half as often as those of 700 or more.

--- a/core/sched/memory.go
+++ b/core/sched/memory.go
@@ -21,6 +21,9 @@
 	// fillMemory is the share of the safe part up to which any request is sent. Up to all of it,
 	// only one that fits is, so that small prompts leave room for large ones.
 	fillMemory = 0.5
+	// partFactor is by how much the parts of the nodes exceed what is free, since nodes are not
+	// all as busy and most use half of their part at most.
+	partFactor = 1.5
 	// updateDelay is the time after which other nodes have heard of a request.
 	updateDelay = time.Second
 	// lastsFactor is the factor of its expected duration for which another node's request counts.
@@ -102,7 +105,7 @@
 	// Until the nodes have heard of each other's requests, each uses its part of what is free.
 	recent := t.memory.recent.total(now)
 	free := safe - float64(max(holds-recent, 0))
-	return recent == 0 || roomFor(tokens, recent, free/float64(max(b.nodes, 1)))
+	return recent == 0 || roomFor(tokens, recent, partFactor*free/float64(max(b.nodes, 1)))
 }
 
 // roomFor reports whether requests that hold so many tokens leave room for a further one.
--- a/core/sched/memory_test.go
+++ b/core/sched/memory_test.go
@@ -39,8 +39,8 @@
 	simEngines = 3
 )
 
-func newMemorySim(nodes int, lost float64) *memorySim {
-	s := &memorySim{rnd: rand.New(rand.NewPCG(7, 0)), now: start, lost: lost, held: map[string]int{}}
+func newMemorySim(nodes int, lost float64, seed uint64) *memorySim {
+	s := &memorySim{rnd: rand.New(rand.NewPCG(seed, 0)), now: start, lost: lost, held: map[string]int{}}
 	for range nodes {
 		s.nodes = append(s.nodes, newMemoryNode(simEngines, nodes))
 	}
@@ -123,10 +123,11 @@
 // Guards against engines that crash because all nodes together send them more than their memory
 // holds, with updates that are late or lost, and against large prompts that never find room.
 func TestMemoryIsNotExceeded(t *testing.T) {
-	for name, lost := range map[string]float64{"late": 0, "late and lost": 0.1} {
-		t.Run(name, func(t *testing.T) {
+	for n := range uint64(6) {
+		lost := 0.1 * float64(n%2)
+		t.Run(fmt.Sprintf("seed %d, %v lost", n, lost), func(t *testing.T) {
 			is := is.New(t)
-			s := newMemorySim(14, lost)
+			s := newMemorySim(14, lost, n)
 			for range 3 {
 				s.overload(6 * time.Second)
 				t.Logf("most %d; served %v of %v", s.most, s.served, s.offered)
@@ -145,7 +146,7 @@
 // Guards against engines that are left out for good because of requests that have ended long ago.
 func TestMemoryIsFreeAgain(t *testing.T) {
 	is := is.New(t)
-	s := newMemorySim(14, 0.5)
+	s := newMemorySim(14, 0.5, 7)
 	s.overload(6 * time.Second)
 	for range 16_000 / 2 {
 		s.step()
