--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -45,6 +45,9 @@
 	if c.Fetched > 0 {
 		addInt("fetched", c.Fetched)
 	}
+	if c.Holds > 0 {
+		addInt("holds", c.Holds)
+	}
 	addDuration("wait", c.Wait.Round(time.Millisecond))
 	addFloat("slow", float64(int(c.Slowdown*100))/100)
 }
@@ -81,6 +84,8 @@
 	// SharePlaces is set if the nodes tell each other of requests without prompts, so that each
 	// knows which places of the upstreams are taken.
 	SharePlaces bool
+	// GuardMemory is set if engines get no request for which their KV memory has no room.
+	GuardMemory bool
 }
 
 // DefaultOptions returns the options that nodes use.
@@ -123,6 +128,8 @@
 	idlePacedToo bool
 	// surveying is set while nothing that is used up by requests may change.
 	surveying bool
+	// nodes is the number of nodes in contact with this one.
+	nodes int
 	// recent holds this node's latest 16 outcomes, with a set bit for each failure.
 	recent uint16
 	// candidates, atHome and homes are buffers that each decision reuses.
@@ -136,7 +143,7 @@
 // New returns a balancer without upstreams, for a node in the given place.
 func New(opts Options, place fleet.Place) *Balancer {
 	return &Balancer{
-		opts: opts, place: place, share: 1,
+		opts: opts, place: place, share: 1, nodes: 1,
 		loads: map[string]*serviceLoad{}, loadByHash: map[uint64]*serviceLoad{},
 		targets: map[string]*target{}, byHash: map[uint64]*target{}, services: map[string][]*target{},
 		speeds: map[string]*speed{},
@@ -209,6 +216,7 @@
 	b.recordCold(now, t)
 	t.pace.Sent(now)
 	t.usual.sent(now)
+	c.held = t.hold(now, q)
 	u = Update{Kind: Placement, Upstream: t.hash}
 	if len(q.Parts) == 0 {
 		if !b.opts.SharePlaces {
@@ -218,23 +226,29 @@
 		b.loads[t.up.Service].began(now)
 		return c, Update{Kind: Occupied, Upstream: t.hash, Occupies: time.Duration(t.places.occupied)}, b.crowded(now, t.up.Service) || t.limiter != nil
 	}
+	u.Holds, u.Lasts = q.need(), t.lasts(q, c)
+	t.triedAt = now
 	c.Ticket = t.expectFirstToken(now.Add(c.firstTokenIn()))
 	t.recordPlacement(now, q.Parts, c.Uncached)
 	if len(q.Parts) > maxUpdateParts {
 		return c, u, t.limiter != nil
 	}
-	u.Uncached, u.Parts, u.Slowdown = c.Uncached, q.Parts, t.evidence
+	u.Uncached, u.Parts = c.Uncached, q.Parts
+	u.Slowdown = t.evidence * t.speed.nominal()
 	t.evidence = 0
 	return c, u, true
 }
 
 // FirstToken updates the estimates from an observed time to first token.
 func (b *Balancer) FirstToken(c Choice, took time.Duration) {
-	t, ok := b.targets[c.Upstream.ID]
-	if !ok || c.Rank < 0 {
+	t, ok := b.chosen(c)
+	if !ok {
 		return
 	}
 	t.clearPending(c.Ticket)
+	if c.Rank < 0 {
+		return
+	}
 	if c.Fetched == 0 {
 		t.speed.observe(c.Uncached+c.waitTokens, took)
 	}
@@ -247,11 +261,12 @@
 	if !c.sent.at.IsZero() {
 		b.recordLoad(now, c.Upstream.Service, o)
 	}
-	t, ok := b.targets[c.Upstream.ID]
+	t, ok := b.chosen(c)
 	if !ok {
 		return Update{}, false
 	}
 	t.clearPending(c.Ticket)
+	t.release(c.held)
 	t.inFlight = max(t.inFlight-1, 0)
 	slowed, tell := t.endedPace(now, c, o)
 	if !c.sent.at.IsZero() {
@@ -262,6 +277,9 @@
 	}
 	switch o {
 	case Served:
+		if c.held.output > 0 {
+			t.speed.observeOutput(c.held.output, now.Sub(c.held.at)-c.firstTokenIn())
+		}
 		b.recent <<= 1
 		t.health.recordSuccess()
 		t.ejectedUntil = time.Time{}
--- a/io/front/admit.go
+++ b/io/front/admit.go
@@ -177,6 +177,15 @@
 	}
 }
 
+// notAdmitted returns the response to a request that is rejected because of the upstreams' load.
+func (c *call) notAdmitted(reason sched.Reason, after time.Duration) *responseError {
+	c.admitted.decision = sched.Decision{Action: sched.Reject, Reason: reason}
+	c.f.metrics.countAdmission(c.admitted)
+	failure := *errNotAdmitted
+	failure.retryAfter = after + time.Duration(xxhash.Sum64String(c.id)%uint64(retrySpread))
+	return &failure
+}
+
 // placeTaken tells admission that the request is in flight, or is not sent.
 func (c *call) placeTaken() {
 	if !c.admitted.granted {
--- a/io/front/admit_test.go
+++ b/io/front/admit_test.go
@@ -40,11 +40,14 @@
 type desk struct {
 	front   *front.Front
 	url     string
+	addr    netip.AddrPort
 	arrived chan string
 	finish  chan struct{}
 }
 
-func startDesk(t *testing.T) *desk {
+func startDesk(t *testing.T) *desk { return startDeskWith(t, plainDialect()) }
+
+func startDeskWith(t *testing.T, dialect front.Dialect) *desk {
 	t.Helper()
 	d := &desk{arrived: make(chan string, 10), finish: make(chan struct{})}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -60,7 +63,7 @@
 	pool := conns.NewPool(conns.DefaultOptions())
 	d.url = "http://" + ln.Addr().String()
 	d.front = front.Start(front.Deps{
-		Log: zap.NewNop(), Listener: ln, Dialect: plainDialect(), Budgets: &fakeBudgets{done: make(chan struct{}, 10)}, Conns: pool,
+		Log: zap.NewNop(), Listener: ln, Dialect: dialect, Budgets: &fakeBudgets{done: make(chan struct{}, 10)}, Conns: pool,
 		Sched: sched.DefaultOptions(), Retry: front.RetryOptions{Ratio: 0.2, Burst: retryBurst, Window: 10 * time.Second},
 		LeaveNotice: leaveNotice, Admission: true, Broadcast: func(sched.Update) {}, Report: func(poison.Report) {},
 		Leaving: func(fleet.Upstream) {}, Quarantine: func(fleet.Quarantine) {},
@@ -81,8 +84,8 @@
 		}},
 		Services: []policy.Service{{Name: "pay"}},
 	}))
-	addr := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
-	d.front.SetUpstreams([]fleet.Upstream{{ID: "i-1", Service: "pay", Addr: addr, Slots: 1}})
+	d.addr = netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	d.front.SetUpstreams([]fleet.Upstream{{ID: "i-1", Service: "pay", Addr: d.addr, Slots: 1}})
 	return d
 }
 
--- a/io/front/bill.go
+++ b/io/front/bill.go
@@ -41,7 +41,7 @@
 		return endDeadline
 	case c.r.Context().Err() != nil && c.f.aborting.Load():
 		return endSystem
-	case c.r.Context().Err() != nil, c.stream != nil && c.stream.writeErr != nil:
+	case c.r.Context().Err() != nil, c.response.err != nil:
 		return endCaller
 	}
 	return endUpstream
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -140,3 +140,11 @@
 	}
 	return c.Close()
 }
+
+// SetWriteBuffer bounds what the kernel holds for the connection, in bytes, if it can.
+func (c *conn) SetWriteBuffer(bytes int) error {
+	if b, ok := c.Conn.(interface{ SetWriteBuffer(int) error }); ok {
+		return b.SetWriteBuffer(bytes)
+	}
+	return nil
+}
