--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -59,6 +59,8 @@
 	// second: its rate times ColdOverage, plus ColdBurst.
 	ColdOverage float64 `json:"cold_overage"`
 	ColdBurst   float64 `json:"cold_burst"`
+	// EngineMemory keeps requests from engines whose KV memory has no room for them.
+	EngineMemory bool `json:"engine_memory"`
 	// Pace limits the requests to upstreams that have started or recovered.
 	Pace bool `json:"pace"`
 	// Admission is set if requests for services without prompts wait for a place at their
@@ -185,7 +187,7 @@
 func (s *NodeSettings) sched() sched.Options {
 	opts := sched.DefaultOptions()
 	opts.ColdOverage, opts.ColdBurst = s.ColdOverage, s.ColdBurst
-	opts.Pace = s.Pace
+	opts.Pace, opts.GuardMemory = s.Pace, s.EngineMemory
 	return opts
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -140,7 +140,6 @@
 func (d Deps) schedOptions() sched.Options {
 	opts := d.Sched
 	opts.SharePlaces = opts.SharePlaces || d.Admission
-	opts.GuardMemory = opts.GuardMemory || d.Admission
 	return opts
 }
 
