--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -46,19 +46,24 @@
 // done.
 const enoughGood = 5
 
-// Pace is one node's rate of requests to one upstream. The methods on nil are those of an
-// upstream without a pace.
+// Pace is one node's rate of requests to one upstream. A nil Pace limits nothing: OpensIn, Sent,
+// Good and Bad may be called on it.
 type Pace struct {
+	// rate is the present rate of this node, least and full its parts of leastRate and fullRate.
 	rate, least float64
 	full        float64
 	startedAt   time.Time
-	due         time.Time
-	grownAt     time.Time
-	halvedAt    time.Time
-	heldAt      time.Time
-	good        int
-	nodes       float64
-	score       float64
+	// due is when the next request may be sent.
+	due time.Time
+	// grownAt is up to when responses have been counted for the growth of the rate.
+	grownAt  time.Time
+	halvedAt time.Time
+	// heldAt is when a request was last held back.
+	heldAt time.Time
+	// good is the number of responses in time since the score last reached halveAt.
+	good  int
+	nodes float64
+	score float64
 }
 
 // New returns the pace of an upstream that one of so many nodes sends to. It starts at half of the
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -104,7 +104,7 @@
 	targets  map[string]*target
 	byHash   map[uint64]*target
 	services map[string][]*target
-	// speeds are those of the services.
+	// speeds holds the speed of the engines of each service.
 	speeds map[string]*speed
 	// loads holds the loads of services without prompts by name, and loadByHash by the hash of it.
 	loads      map[string]*serviceLoad
@@ -114,19 +114,20 @@
 	// share is the share of an upstream's limit that the nodes in contact with this one may
 	// use.
 	share float64
-	// sharers are the hashes of the nodes that share bounds, self that of this one, and joined is
-	// set if this one uses its part. sharersVersion increases with each change.
+	// sharers are the hashes of the sharers' addresses, self that of this node, and joined is set
+	// if it uses its part. sharersVersion increases with each change.
 	sharers        []uint64
 	self           uint64
 	joined         bool
 	sharersVersion uint64
-	// knownSince is since when the services have had upstreams. paceChanges have not been read yet.
-	knownSince  map[string]time.Time
+	// knownSince is since when the services have had upstreams.
+	knownSince map[string]time.Time
+	// paceChanges are the changes that SetPaces has not returned yet.
 	paceChanges []PaceChange
 	// idlePacedToo is set while paced upstreams without requests of this node may be chosen before
 	// their time.
 	idlePacedToo bool
-	// surveying is set while nothing that is used up by requests may change.
+	// surveying is set during a Survey, which must not change the paces.
 	surveying bool
 	// nodes is the number of nodes in contact with this one.
 	nodes int
--- a/core/sched/decision.go
+++ b/core/sched/decision.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// Action is what is to be done with a request.
+// Action is what admission decides to do with a request.
 type Action uint8
 
 // The actions.
 const (
-	// Send means that the request goes to the chosen upstream now.
+	// Send means that the request may be sent now.
 	Send Action = iota
 	// Wait means that the request is asked for again once the state changes, or after a time.
 	Wait
@@ -23,8 +23,6 @@
 
 // The reasons, as they appear in logs and metrics.
 const (
-	// NoUpstream means that the service has no upstream that is ready.
-	NoUpstream Reason = "no_upstream"
 	// Evacuated means that the operators have evacuated the places of the upstreams.
 	Evacuated Reason = "evacuated"
 	// OutsideRegions means that no upstream lies in a region that the request may go to.
@@ -50,11 +48,9 @@
 	Overloaded Reason = "overloaded"
 )
 
-// Decision is the answer to a Query.
+// Decision is what admission (core/admit) decides on a request.
 type Decision struct {
 	Action Action
-	// Choice is the upstream of a request that is sent.
-	Choice Choice
 	// After is when a request that waits is to be asked for again at the latest, or when a
 	// caller whose request is rejected may come back with success.
 	After time.Duration
--- a/core/sched/places.go
+++ b/core/sched/places.go
@@ -28,9 +28,9 @@
 	tieShare = 0.1
 	// maxOthers bounds the requests of other nodes that are remembered for one upstream.
 	maxOthers = 128
-	// queueShare is the part of its places that an upstream may let wait in its own queue, so
-	// that a place that becomes free is taken without a round trip.
-	queueShare = 3
+	// queueDivisor is the number of places for each request that may wait in an upstream's own
+	// queue, so that a place that becomes free is taken without a round trip.
+	queueDivisor = 3
 )
 
 // places is what a node knows of the requests in flight at an upstream without prompts.
@@ -224,7 +224,7 @@
 		}
 		r.Places += t.up.Slots
 		perSecond += float64(t.up.Slots) / t.places.occupied.time().Seconds()
-		room := float64(t.up.Slots+max(t.up.Slots/queueShare, 1)) - t.load(now)
+		room := float64(t.up.Slots+max(t.up.Slots/queueDivisor, 1)) - t.load(now)
 		r.Free += int(max(math.Round(room), 0))
 		excess += max(-room, 0)
 	}
--- a/core/sched/query.go
+++ b/core/sched/query.go
@@ -28,8 +28,6 @@
 	// Input is the prompt's length in tokens, Output the maximum number of tokens that
 	// may be generated.
 	Input, Output int
-	// Rank is the request's priority; 0 is the most urgent.
-	Rank int
 	// Objective is the time from now until which the first token should arrive; 0 if there is
 	// none. Deadline is the time from now until which the caller waits.
 	Objective, Deadline time.Duration
@@ -74,14 +72,14 @@
 	Rank int
 	// Uncached is the number of prompt tokens that the upstream has to prefill, Wait
 	// the time until it has prefilled the prompts before this one, Prefill the time to
-	// prefill this one, Overhead the rest of the time to the first token, and Slowdown the factor by which the upstream is slower than usual.
-	// All five are estimates.
+	// prefill this one, Overhead the rest of the time to the first token, and Slowdown the
+	// factor by which the upstream is slower than usual. All five are estimates.
 	Uncached int
 	Wait     time.Duration
 	Prefill  time.Duration
 	Overhead time.Duration
 	Slowdown float64
-	// waitTokens is the number of tokens that the upstream prefills before.
+	// waitTokens is the number of tokens of the prompts that the upstream prefills before.
 	waitTokens int
 	// Source is the upstream from which the engine is to fetch the cached tokens that it lacks,
 	// Fetched their number; 0 if there is no source. Uncached does not include them.
@@ -93,7 +91,8 @@
 	sent sent
 	// Holds is the number of tokens that known requests held of the engine's memory before.
 	Holds int
-	held  held
+	// held is what this request holds of it.
+	held held
 }
 
 // Overdue reports whether the first token should have arrived after this time.
--- a/core/sched/speed.go
+++ b/core/sched/speed.go
@@ -25,7 +25,7 @@
 	initialOutput = 10 * time.Millisecond
 )
 
-// Which first tokens an estimate is taken from.
+// The first tokens from which the speed is estimated, and bounds of the estimates.
 const (
 	// longPrompt is the least number of tokens to prefill, with those of the prompts before, from
 	// which the time per token is estimated, and shortPrompt the most from which the overhead is.
--- a/core/sched/survey.go
+++ b/core/sched/survey.go
@@ -25,8 +25,8 @@
 }
 
 // Survey returns what is known of the upstreams of the request's service, by id, and the upstream
-// that Pick would choose; ok is false if there is none. Nothing is sent, and no pace, limit or tie
-// is used up.
+// that Pick would choose; ok is false if there is none. Nothing is sent, and paces, limits and the
+// order among equal upstreams stay as they are.
 func (b *Balancer) Survey(now time.Time, q Query) (list []Prospect, c Choice, ok bool) {
 	tieBreak := b.tieBreak
 	b.surveying = true
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -89,8 +89,6 @@
 
 // Engine describes the upstreams of a service.
 type Engine struct {
-	// Slots is the number of requests that an upstream runs concurrently; 0 if it is unknown.
-	Slots int
 	// ColdPerSecond is the number of requests a second that a cold upstream tolerates from all
 	// entries together; 0 if it has no such bound.
 	ColdPerSecond float64
--- a/core/sched/update.go
+++ b/core/sched/update.go
@@ -31,8 +31,9 @@
 )
 
 // Update tells other nodes that a request was placed on an upstream, that an upstream
-// failed, named a limit or asked for a pause, so that all nodes have a similar view of the
-// upstreams' load, caches, health and limits. It is sent as a datagram and may be lost.
+// failed, was slow, named a limit or asked for a pause, or what load the sender has of a
+// service, so that all nodes have a similar view of the upstreams' load, caches, memory,
+// speed, health and limits. It is sent as a datagram and may be lost.
 type Update struct {
 	Kind UpdateKind
 	// Upstream is the hash of the upstream's id, or of the service's name for ServiceLoad.
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -316,7 +316,7 @@
 func (c *call) query() sched.Query {
 	return sched.Query{
 		Service: c.service.Name, Parts: c.parts, Input: c.info.Input, Output: c.info.Output, Exclude: c.tried,
-		Rank: c.rank(), Objective: c.objectiveLeft(), Deadline: c.timeLeft(), RouteRegions: c.route.Regions, CustomerRegions: c.customerRegions,
+		Objective: c.objectiveLeft(), Deadline: c.timeLeft(), RouteRegions: c.route.Regions, CustomerRegions: c.customerRegions,
 	}
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -171,15 +171,15 @@
 		if table == nil {
 			return sched.Engine{}
 		}
-		if s, ok := table.Service(service); ok && s.Engine != nil {
-			return sched.Engine{
-				Slots: s.Engine.Slots, ColdPerSecond: s.ColdPerSecond, ColdFor: s.ColdFor,
-				KVTokens: s.Engine.KVTokens, FetchPerToken: s.Engine.FetchPerToken,
-			}
-		} else if ok {
-			return sched.Engine{ColdPerSecond: s.ColdPerSecond, ColdFor: s.ColdFor}
+		s, ok := table.Service(service)
+		if !ok {
+			return sched.Engine{}
+		}
+		e := sched.Engine{ColdPerSecond: s.ColdPerSecond, ColdFor: s.ColdFor}
+		if s.Engine != nil {
+			e.KVTokens, e.FetchPerToken = s.Engine.KVTokens, s.Engine.FetchPerToken
 		}
-		return sched.Engine{}
+		return e
 	})
 	f.updateCold()
 }
