--- a/core/admit/counts.go
+++ b/core/admit/counts.go
@@ -8,7 +8,8 @@
 // count counts the requests of a class, with the latest ones weighing most.
 type count struct {
 	asked, served float64
-	at            time.Time
+	// at is when the counts last decayed.
+	at time.Time
 }
 
 const (
@@ -59,23 +60,19 @@
 }
 
 // asked counts a request that arrived.
-func (c *counts) asked(now time.Time, r Request) {
-	add := func(n *count) {
-		n.decay(now)
-		n.asked++
-	}
-	add(&c.all)
-	c.classes(r, add)
-}
+func (c *counts) asked(now time.Time, r Request) { c.add(now, r, func(n *count) { n.asked++ }) }
 
 // served counts a request that may be sent.
-func (c *counts) served(now time.Time, r Request) {
-	add := func(n *count) {
+func (c *counts) served(now time.Time, r Request) { c.add(now, r, func(n *count) { n.served++ }) }
+
+// add changes the counts of all requests and of the classes of one, after their decay.
+func (c *counts) add(now time.Time, r Request, change func(*count)) {
+	update := func(n *count) {
 		n.decay(now)
-		n.served++
+		change(n)
 	}
-	add(&c.all)
-	c.classes(r, add)
+	update(&c.all)
+	c.classes(r, update)
 }
 
 // starved reports whether a class of the request is served much less often than all requests.
--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -5,9 +5,9 @@
 // the upstreams may have changed, and it answers with decisions. It holds a bounded number of
 // requests and serves them in this order:
 //
-//  1. kinds of requests that are served much less often than all (by rank, customer and size);
+//  1. requests of a class (a rank, customer or size) that is served much less often than all;
 //  2. the more urgent rank;
-//  3. customers within their share, then those beyond it;
+//  3. customers within their usual share, then those beyond it;
 //  4. the request with the least time left.
 //
 // # Usage
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -47,7 +47,8 @@
 	ticket Ticket
 	req    Request
 	since  time.Time
-	tag    float64
+	// tag is that of fair queueing; see shares.
+	tag float64
 	// due is the time of the objective, end that until which the request waits.
 	due, end time.Time
 	// starved and beyond are set anew whenever the order is: a class of the request is starved, or
--- a/core/admit/request.go
+++ b/core/admit/request.go
@@ -15,8 +15,8 @@
 	Rank int
 	// Customer is a hash of the customer's name.
 	Customer uint64
-	// Size is the number of tokens, or of bytes for services without prompts. Bytes is the memory
-	// that the request holds while it waits.
+	// Size is the size of the request in bytes, by which it is put into a class. Bytes is the
+	// memory that it holds while it waits.
 	Size, Bytes int
 	// Objective is the time from now until which the response should begin, Deadline that until
 	// which the caller waits.
--- a/core/admit/shares.go
+++ b/core/admit/shares.go
@@ -17,6 +17,7 @@
 
 // usual counts what each customer usually sends.
 type usual struct {
+	// of holds the count of each customer, sum that of all, and at is when they last decayed.
 	of  [customers]float64
 	at  time.Time
 	sum float64
--- a/core/fleet/region.go
+++ b/core/fleet/region.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "slices"
+
 // Region is the name of a group of places, as given in the settings.
 type Region string
 
@@ -13,13 +15,5 @@
 		return true
 	}
 	region, ok := r[p]
-	if !ok {
-		return false
-	}
-	for _, a := range allowed {
-		if a == region {
-			return true
-		}
-	}
-	return false
+	return ok && slices.Contains(allowed, region)
 }
--- a/core/gossip/machine.go
+++ b/core/gossip/machine.go
@@ -76,7 +76,8 @@
 	// for them.
 	resyncAt time.Time
 	resync   bool
-	// version increases with each change of the upstreams, peers, quarantines or evacuations.
+	// version increases with each change of the upstreams, peers, quarantines, evacuations or
+	// sharers.
 	version uint64
 	// reportedVersion is the version that the driver last read.
 	reportedVersion uint64
@@ -137,8 +138,8 @@
 	return m.peers.Put(p.ID, p, source)
 }
 
-// Version returns a number that increases whenever quarantines or evacuations change, or peers or
-// upstreams in more than their heartbeat counters.
+// Version returns a number that increases whenever quarantines, evacuations or sharers change, or
+// peers or upstreams in more than their heartbeat counters.
 func (m *Machine) Version() uint64 {
 	m.reportedVersion = m.version
 	return m.version
--- a/core/gossip/sharers.go
+++ b/core/gossip/sharers.go
@@ -43,7 +43,8 @@
 	startedAt time.Time
 	joinedAt  time.Time
 	joined    bool
-	full      bool
+	// full is set once more than maxSharers were heard of.
+	full bool
 }
 
 func newSharers(p Params) sharers {
@@ -233,7 +234,7 @@
 	return m.sharers.list(now)
 }
 
-// Sharers returns the nodes that share what holds for all of them together.
+// Sharers returns this node's view of the sharers.
 func (m *Machine) Sharers(now time.Time) fleet.Sharers {
 	out := fleet.Sharers{Self: m.self.Addr, All: make([]netip.AddrPort, 0, len(m.sharers.byAddr))}
 	for addr := range m.sharers.byAddr {
--- a/core/quota/allocation.go
+++ b/core/quota/allocation.go
@@ -44,7 +44,7 @@
 	// seeded is set if the rate comes from the previous holder and was not in a
 	// statement since.
 	seeded bool
-	// statedSpent and statedReserved are the values in the latest statement.
+	// statedSpent, statedReserved and statedBegun are the values in the latest statement.
 	statedSpent, statedReserved, statedBegun Tokens
 	// largest is the worst case of the largest request since largestAt.
 	largest   Tokens
@@ -89,5 +89,6 @@
 
 // changed reports whether the next statement must name the customer.
 func (alloc *localAllocation) changed() bool {
-	return !alloc.known || alloc.recall || alloc.seeded || len(alloc.waiting) > 0 || len(alloc.ready) > 0 || alloc.begun != alloc.statedBegun || alloc.spent != alloc.statedSpent || alloc.reserved != alloc.statedReserved
+	return !alloc.known || alloc.recall || alloc.seeded || len(alloc.waiting) > 0 || len(alloc.ready) > 0 ||
+		alloc.spent != alloc.statedSpent || alloc.reserved != alloc.statedReserved || alloc.begun != alloc.statedBegun
 }
--- a/core/quota/errors.go
+++ b/core/quota/errors.go
@@ -27,7 +27,9 @@
 	Reason   Reason
 	Customer string
 	Worst    Tokens
-	// Spent and Reserved are the holder's use; CutoffLimit and Granted its allocation.
+	// Spent is what the holder has spent, and Reserved the worst cases of its other requests in
+	// progress, or only of those that have begun if this one could not begin. CutoffLimit and
+	// Granted are its allocation.
 	Spent, Reserved, CutoffLimit, Granted Tokens
 	// Unspent is what the customer had left over all holders, Age ago.
 	Unspent Tokens
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -33,7 +33,7 @@
 	// Used is what was spent, plus what requests in progress may still spend.
 	Used    Tokens `cbor:"5,keyasint"`
 	Largest Tokens `cbor:"6,keyasint"`
-	// InitialLimit is the part of CutoffLimit that may be spent immediately. While a
+	// InitialLimit is the part of CutoffLimit that may begin immediately. While a
 	// holder has no reply to its latest statement, it may apply lower limits: it lowers
 	// its own to what the statement asks for.
 	InitialLimit Tokens `cbor:"7,keyasint"`
--- a/core/quota/options.go
+++ b/core/quota/options.go
@@ -13,7 +13,7 @@
 	// KeeperLead is how much earlier allocations open for a holder whose raises keepers
 	// have recorded, since those records survive the end of all processes.
 	KeeperLead time.Duration
-	// InitialHorizon is the span of demand that a holder can spend immediately,
+	// InitialHorizon is the span of demand that a holder can let begin immediately,
 	// CutoffHorizon the span that it can spend by CutOff. They trade the tokens that are
 	// forfeited when many nodes die together against what nodes can serve while they are
 	// partitioned.
--- a/core/quota/statement.go
+++ b/core/quota/statement.go
@@ -46,7 +46,7 @@
 	Reserved Tokens `cbor:"3,keyasint"`
 	// Mark is the cutoff limit that the holder asks for. If it is below the present one,
 	// the holder lowers its limit. Start is the initial limit, the part of Mark that may
-	// be spent immediately. The rest opens evenly until CutOff while no reply comes.
+	// begin immediately. The rest opens evenly until CutOff while no reply comes.
 	Mark  Tokens `cbor:"4,keyasint"`
 	Start Tokens `cbor:"10,keyasint"`
 	// GiveBack is set if the holder gives back what its allocation has above Limit.
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -238,7 +238,7 @@
 	return m.machine.Known(time.Now())
 }
 
-// Sharers returns the nodes that share what holds for all of them together.
+// Sharers returns this node's view of the sharers.
 func (m *Mesh) Sharers() fleet.Sharers {
 	m.mu.Lock()
 	defer m.mu.Unlock()
