--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -62,7 +62,8 @@
 	// Pace limits the requests to upstreams that have started or recovered.
 	Pace bool `json:"pace"`
 	// Admission is set if requests for services without prompts wait for a place at their
-	// upstreams, in order of priority, and are rejected early if they would be late.
+	// upstreams, in order of priority, and are rejected early if they would be late, and if
+	// engines get no request for which their memory has no room.
 	Admission bool   `json:"admission"`
 	LogLevel  string `json:"log_level"`
 }
@@ -76,7 +77,7 @@
 	// garbage more often.
 	memoryShare = 0.75
 	// callerShare and operatorShare are the shares of the memory for the heads and bodies of callers'
-	// requests, and of those to the API.
+	// requests, and of those to the API and the readiness address.
 	callerShare   = 0.3
 	operatorShare = 0.15
 )
@@ -155,7 +156,8 @@
 	return out
 }
 
-// memoryLimit returns the soft memory limit of the runtime, in bytes.
+// memoryLimit returns the soft memory limit of the runtime, in bytes, for a process that may use this
+// much memory; 0 means no limit.
 func memoryLimit(memoryMB int) int64 {
 	if memoryMB == 0 {
 		return math.MaxInt64
--- a/io/front/body.go
+++ b/io/front/body.go
@@ -19,13 +19,14 @@
 	if table == nil {
 		return bytes, timeout, idle
 	}
-	if l := table.Limits; l.HeaderBytes > 0 {
+	l := table.Limits
+	if l.HeaderBytes > 0 {
 		bytes = l.HeaderBytes
 	}
-	if l := table.Limits; l.HeaderTimeout > 0 {
+	if l.HeaderTimeout > 0 {
 		timeout = l.HeaderTimeout
 	}
-	if l := table.Limits; l.IdleTimeout > 0 {
+	if l.IdleTimeout > 0 {
 		idle = l.IdleTimeout
 	}
 	return bytes, timeout, idle
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -33,7 +33,7 @@
 	customerRegions []fleet.Region
 	info            RequestInfo
 	body            []byte
-	held            *intake.Body // nil before the body has been read
+	held            *intake.Body // holds the memory of body; nil before it has been read
 	deadline        time.Time
 	// reservation identifies the reservation of tokens. Callers choose the ids of their
 	// requests, which need not differ.
@@ -239,7 +239,7 @@
 		choice, ok := c.f.pick(c.query())
 		if !ok {
 			failure := c.noChoiceError(last)
-			c.f.metrics.countHeldBack(failure)
+			c.f.metrics.countPaced(failure)
 			return failure
 		}
 		res := c.tryUpstream(ctx, choice)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -19,12 +19,12 @@
 	"go.uber.org/zap"
 )
 
-// Limits on the connections of callers, unless the policy sets them.
+// Limits on the connections of callers, unless the policy sets others.
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
 	headerBytes   = 64 << 10
-	// serverHeaderBytes is no limit: that of the policy is checked by intake.
+	// serverHeaderBytes is the limit of net/http, which never applies: intake checks that of the policy.
 	serverHeaderBytes = 1 << 30
 )
 
@@ -51,11 +51,12 @@
 	Listener net.Listener
 	Dialect  Dialect
 	Place    fleet.Place
-	Regions  fleet.Regions
-	Budgets  Budgets
-	Conns    *conns.Pool
-	Sched    sched.Options
-	Retry    RetryOptions
+	// Regions holds the region of each place that the settings name.
+	Regions fleet.Regions
+	Budgets Budgets
+	Conns   *conns.Pool
+	Sched   sched.Options
+	Retry   RetryOptions
 	// Broadcast sends an update to the other nodes, and Report a report. They must not
 	// block.
 	Broadcast func(sched.Update)
@@ -70,7 +71,8 @@
 	// MaxCallers limits the connections of callers; 0 means no limit.
 	MaxCallers int
 	// Admission is set if requests for services without prompts wait for a place at their
-	// upstreams, or are rejected early.
+	// upstreams, or are rejected early, and engines get no request for which their memory has no
+	// room.
 	Admission bool
 	// Intake bounds the memory of the callers' heads and bodies; nil means no bound.
 	Intake *intake.Gate
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -21,13 +21,14 @@
 	tokens      metric.Int64Counter
 	waived      metric.Int64Counter
 	quarantines metric.Int64Counter
-	heldBack    metric.Int64Counter
-	paced       metric.Int64Gauge
-	waiting     metric.Int64UpDownCounter
-	rejected    metric.Int64Counter
-	waited      metric.Float64Histogram
-	firstByte   metric.Float64Histogram
-	duration    metric.Float64Histogram
+	// pacedRequests counts the requests that found only paced upstreams, paced is the number of those.
+	pacedRequests metric.Int64Counter
+	paced         metric.Int64Gauge
+	waiting       metric.Int64UpDownCounter
+	rejected      metric.Int64Counter
+	waited        metric.Float64Histogram
+	firstByte     metric.Float64Histogram
+	duration      metric.Float64Histogram
 }
 
 func newMetrics() *metrics {
@@ -36,15 +37,15 @@
 		attempts: telem.Counter("front", "front_attempts", "Attempts at upstreams by how they ended."),
 		quarantines: telem.Counter("front", "front_quarantines",
 			"Quarantines of prompt parts that this node began or lifted."),
-		heldBack:  telem.Counter("front", "front_paced_requests", "Requests that found only upstreams that are paced."),
-		paced:     telem.Amount("front", "front_paced_upstreams", "Upstreams that are paced: cold, started or recovered lately."),
-		waiting:   telem.UpDown("front", "front_waiting", "Requests that wait for a place at an upstream."),
-		rejected:  telem.Counter("front", "front_not_admitted", "Requests that admission rejected, by reason."),
-		waited:    telem.Seconds("front", "front_wait_seconds", "Time that requests waited for a place at an upstream."),
-		tokens:    telem.Counter("front", "front_tokens", "Tokens that customers were billed, by who ended the response."),
-		waived:    telem.Counter("front", "front_waived_tokens", "Tokens of streams that ended midway that were not billed."),
-		firstByte: telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
-		duration:  telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
+		pacedRequests: telem.Counter("front", "front_paced_requests", "Requests that found only upstreams that are paced."),
+		paced:         telem.Amount("front", "front_paced_upstreams", "Upstreams that are paced: cold, started or recovered lately."),
+		waiting:       telem.UpDown("front", "front_waiting", "Requests that wait for a place at an upstream."),
+		rejected:      telem.Counter("front", "front_not_admitted", "Requests that admission rejected, by reason."),
+		waited:        telem.Seconds("front", "front_wait_seconds", "Time that requests waited for a place at an upstream."),
+		tokens:        telem.Counter("front", "front_tokens", "Tokens that customers were billed, by who ended the response."),
+		waived:        telem.Counter("front", "front_waived_tokens", "Tokens of streams that ended midway that were not billed."),
+		firstByte:     telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
+		duration:      telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
 	}
 }
 
@@ -95,9 +96,9 @@
 	m.quarantines.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
 }
 
-// countHeldBack counts a request that found only upstreams that are paced.
-func (m *metrics) countHeldBack(failure *responseError) {
+// countPaced counts a request that found only upstreams that are paced.
+func (m *metrics) countPaced(failure *responseError) {
 	if failure.code == errUpstreamPaced.code {
-		m.heldBack.Add(context.Background(), 1)
+		m.pacedRequests.Add(context.Background(), 1)
 	}
 }
--- a/io/front/response.go
+++ b/io/front/response.go
@@ -60,7 +60,8 @@
 	return errTimeout
 }
 
-// boundSendBuffer is a ConnContext of an http.Server.
+// boundSendBuffer limits what the kernel holds for a caller's connection. It is a ConnContext of an
+// http.Server.
 func boundSendBuffer(ctx context.Context, c net.Conn) context.Context {
 	if b, ok := c.(interface{ SetWriteBuffer(int) error }); ok {
 		_ = b.SetWriteBuffer(sendBuffer)
--- a/io/front/where.go
+++ b/io/front/where.go
@@ -11,7 +11,7 @@
 // Destination is where a request would go now, and why.
 type Destination struct {
 	// Code is the code of the response if the request would be rejected before an upstream is
-	// chosen, or because none is left; empty if it would be sent.
+	// chosen, or because none is left; empty if it would be sent or would wait.
 	Code string
 	// Policy is the number of the policy in force.
 	Policy uint64
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -32,7 +32,8 @@
 	inHead bool
 	// waiting is set until the first byte after a request.
 	waiting bool
-	read    int
+	// read is the number of bytes of the head that have been read.
+	read int
 	// id is that of the head at the gate; 0 if there is none.
 	id upload.ID
 }
--- a/io/intake/conns.go
+++ b/io/intake/conns.go
@@ -96,7 +96,7 @@
 	case cs.open <= accepted:
 		return cs.closeOldest(now)
 	}
-	// Rather than to run out of descriptors, the oldest is closed that has not sent its head.
+	// Before descriptors run out, the oldest connection that has not sent its head is closed.
 	return cs.closeOldest(now.Add(upload.Grace))
 }
 
--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -36,7 +36,7 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, err := g.Read(w, r, testBody, time.Now().Add(5*time.Second))
 			if err != nil {
-				refuse(w, r, statusOf(err), err.Error())
+				respondError(w, r, statusOf(err), err.Error())
 				return
 			}
 			defer body.Close()
--- a/io/intake/server.go
+++ b/io/intake/server.go
@@ -56,7 +56,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if IsTooMany(r.Context()) {
 			w.Header().Set("Connection", "close")
-			refuse(w, r, http.StatusServiceUnavailable, "too many connections")
+			respondError(w, r, http.StatusServiceUnavailable, "too many connections")
 			return
 		}
 		if r.ContentLength == 0 {
@@ -65,7 +65,7 @@
 		}
 		body, err := o.Gate.Read(w, r, o.MaxBody, time.Time{})
 		if err != nil {
-			refuse(w, r, statusOf(err), err.Error())
+			respondError(w, r, statusOf(err), err.Error())
 			return
 		}
 		defer body.Close()
@@ -88,8 +88,8 @@
 	return http.StatusBadRequest
 }
 
-// refuse responds with an error to a request whose body was not read in full.
-func refuse(w http.ResponseWriter, r *http.Request, status int, message string) {
+// respondError responds with an error to a request whose body was not read in full.
+func respondError(w http.ResponseWriter, r *http.Request, status int, message string) {
 	data, err := json.Marshal(map[string]string{"error": message})
 	if err != nil {
 		panic("intake: encode response: " + err.Error())
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -35,7 +35,7 @@
 	Decode func(data []byte) (*policy.Policy, error)
 	// API and Ready create the handlers of the two listeners.
 	API, Ready func(n *Node) http.Handler
-	// MaxBody is the largest body of a request to API, in bytes.
+	// MaxBody is the largest body of a request to API or Ready, in bytes.
 	MaxBody int64
 }
 
@@ -63,7 +63,7 @@
 	Retry front.RetryOptions
 	Sched sched.Options
 	Quota quota.Options
-	// Admission is set if requests wait for places at their upstreams; see front.Deps.
+	// Admission is set if requests wait for room at their upstreams; see front.Deps.
 	Admission bool
 	// Intake bounds the memory of what callers send, Operators that of the requests to API and Ready.
 	Intake, Operators intake.Options
@@ -87,7 +87,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	servers []*intake.Server
-	// operators bounds the memory of requests to the API.
+	// operators bounds the memory of requests to API and Ready.
 	operators *intake.Gate
 	// policies holds the latest policy that waits to be applied.
 	policies  chan state.Published
