--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -151,7 +151,9 @@
 	for n := range candidates {
 		i := (begin + n) % len(candidates)
 		c := &candidates[i]
-		c.t.fadeSlowdown(now)
+		if !b.surveying {
+			c.t.fadeSlowdown(now)
+		}
 		c.fetchFrom(source, least)
 		first := c.t.overhead() + c.t.wait(now) + c.t.prefillTime(c.uncached) + c.fetchTime()
 		cost := first + time.Duration(b.opts.RecomputeWeight*float64(c.t.prefillTime(c.uncached-least)+c.fetchTime())) +
--- a/core/sched/survey.go
+++ b/core/sched/survey.go
@@ -73,6 +73,12 @@
 		}
 		return Paced, in
 	}
+	if t.tooSmall(q.need()) && b.opts.GuardMemory {
+		return TooLarge, 0
+	}
+	if !b.fits(now, t, q.need()) {
+		return Full, 0
+	}
 	if t.avoided(now) {
 		return Avoided, max(t.ejectedUntil.Sub(now), t.avoidUntil.Sub(now))
 	}
--- a/io/ctrl/account.go
+++ b/io/ctrl/account.go
@@ -15,6 +15,8 @@
 	if reply.Hint = h.confirmLeadership(); reply.NotLeader {
 		return nil
 	}
-	h.onLoop(func(time.Time) { reply.Account, reply.Known = h.state.Quota.View(args.Customer) })
+	if !h.onLoop(func(time.Time) { reply.Account, reply.Known = h.state.Quota.View(args.Customer) }) {
+		reply.NotLeader = true
+	}
 	return nil
 }
--- a/io/front/admit.go
+++ b/io/front/admit.go
@@ -180,7 +180,6 @@
 // notAdmitted returns the response to a request that is rejected because of the upstreams' load.
 func (c *call) notAdmitted(reason sched.Reason, after time.Duration) *responseError {
 	c.admitted.decision = sched.Decision{Action: sched.Reject, Reason: reason}
-	c.f.metrics.countAdmission(c.admitted)
 	failure := *errNotAdmitted
 	failure.retryAfter = after + time.Duration(xxhash.Sum64String(c.id)%uint64(retrySpread))
 	return &failure
@@ -196,3 +195,11 @@
 	defer c.f.mu.Unlock()
 	c.f.admission.queue(c.service.Name).Taken()
 }
+
+// countUnplaced counts a request for which no upstream could be chosen.
+func (c *call) countUnplaced(failure *responseError) {
+	c.f.metrics.countPaced(failure)
+	if failure.code == errNotAdmitted.code {
+		c.f.metrics.countAdmission(c.admitted)
+	}
+}
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -239,7 +239,7 @@
 		choice, ok := c.f.pick(c.query())
 		if !ok {
 			failure := c.noChoiceError(last)
-			c.f.metrics.countPaced(failure)
+			c.countUnplaced(failure)
 			return failure
 		}
 		res := c.tryUpstream(ctx, choice)
