Bill the prompts of streams that were broken off, as before

The prompts of streams that their upstream broke off were waived up to a twentieth of what whole responses cost, and the users count them.

Change: waivers are gone. A stream that ends midway is billed its prompt and what was passed on, whoever ended it. The classes in front_tokens_total stay.

Measured: TestStreamsThatEndMidway and its mutant; io/front, core/quota.

--- a/core/policy/table.go
+++ b/core/policy/table.go
@@ -82,12 +82,6 @@
 	return c, ok
 }
 
-// HasCustomer reports whether the policy names a customer.
-func (t *Table) HasCustomer(name string) bool {
-	_, ok := t.customers[name]
-	return ok
-}
-
 // HasCustomers reports whether the policy has customers. If so, requests to routes
 // that are not public need an API key.
 func (t *Table) HasCustomers() bool {
--- a/io/front/bill_test.go
+++ b/io/front/bill_test.go
@@ -14,19 +14,18 @@
 	"github.com/matryer/is"
 )
 
-// The prompt of a stream that its upstream broke off is not billed, so that a customer whose caller
-// sends the request again does not pay it twice, up to a share of what the customer paid for whole
-// responses. Leaving is no way to avoid costs, nor is a deadline.
+// A stream that ended midway is billed its prompt and what was passed on, whoever ended it: by the
+// users' count its prompt is consumed, and neither leaving nor a deadline is a way to avoid costs.
 func TestStreamsThatEndMidway(t *testing.T) {
 	const (
-		whole  = 10 // of 945 tokens each, of which a twentieth may be waived
+		whole  = 10 // of 945 tokens each
 		events = 15
 	)
 	for name, c := range map[string]struct {
 		path string
 		want []quota.Tokens
 	}{
-		"upstream breaks off": {"/plan/break", []quota.Tokens{431, 903, 903}},
+		"upstream breaks off": {"/plan/break", []quota.Tokens{903, 903, 903}},
 		"caller leaves":       {"/plan/leave", []quota.Tokens{903, 903, 903}},
 		"the deadline passes": {"/plan/late", []quota.Tokens{903, 903, 903}},
 	} {
--- a/io/front/call.go
+++ b/io/front/call.go
@@ -44,9 +44,8 @@
 	reserved   bool // tokens are reserved
 	begun      bool // see Budgets.Begin
 	billed     quota.Tokens
-	// ended says who ended the request, waived what was not billed of it.
+	// ended says who ended the request.
 	ended   ending
-	waived  quota.Tokens
 	relayed bool // part of the response was forwarded as it arrived
 	lastErr error
 	stream  *streamRelay
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -87,7 +87,6 @@
 	leaving atomic.Bool
 	// aborting is set once requests in progress are aborted.
 	aborting atomic.Bool
-	waivers  waivers
 	wg       sync.WaitGroup
 	// calls are the requests in progress.
 	calls sync.WaitGroup
@@ -109,7 +108,7 @@
 func Start(deps Deps) *Front {
 	f := &Front{
 		deps: deps, log: deps.Log, balancer: sched.New(deps.schedOptions(), deps.Place),
-		retries: map[string]*sched.RetryBudget{}, metrics: newMetrics(), waivers: waivers{w: quota.NewWaivers()},
+		retries: map[string]*sched.RetryBudget{}, metrics: newMetrics(),
 	}
 	f.balancer.SetRegions(deps.Regions)
 	if deps.Admission {
@@ -154,7 +153,6 @@
 			return
 		}
 		if f.table.CompareAndSwap(old, t) {
-			f.waivers.forget(t.HasCustomer)
 			return
 		}
 	}
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -19,7 +19,6 @@
 	requests    metric.Int64Counter
 	attempts    metric.Int64Counter
 	tokens      metric.Int64Counter
-	waived      metric.Int64Counter
 	quarantines metric.Int64Counter
 	// pacedRequests counts the requests that found only paced upstreams, paced is the number of those.
 	pacedRequests metric.Int64Counter
@@ -43,7 +42,6 @@
 		rejected:      telem.Counter("front", "front_not_admitted", "Requests that admission rejected, by reason."),
 		waited:        telem.Seconds("front", "front_wait_seconds", "Time that requests waited for a place at an upstream."),
 		tokens:        telem.Counter("front", "front_tokens", "Tokens that customers were billed, by who ended the response."),
-		waived:        telem.Counter("front", "front_waived_tokens", "Tokens of streams that ended midway that were not billed."),
 		firstByte:     telem.Seconds("front", "front_first_byte_seconds", "Time from a request's head to the first byte of its answer."),
 		duration:      telem.Seconds("front", "front_request_seconds", "Time from a request's head to the end of its answer."),
 	}
@@ -67,7 +65,6 @@
 	}
 	ended := metric.WithAttributes(attribute.String("ended_by", string(c.ended)))
 	m.tokens.Add(ctx, int64(c.billed), ended)
-	m.waived.Add(ctx, int64(c.waived), ended)
 }
 
 // countAttempt records an attempt by its outcome.
--- a/io/front/trail.go
+++ b/io/front/trail.go
@@ -84,9 +84,6 @@
 	if c.billed > 0 {
 		fields = append(fields, zap.String("ended_by", string(c.ended)))
 	}
-	if c.waived > 0 {
-		fields = append(fields, zap.Int64("waived", int64(c.waived)))
-	}
 	if c.reserveTook > 0 {
 		fields = append(fields, zap.Duration("reserve_took", c.reserveTook.Round(time.Millisecond)))
 	}
