--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -80,7 +80,7 @@
 	memoryShare = 0.75
 	// callerShare and operatorShare are the shares of the memory for the heads and bodies of callers'
 	// requests, and of those to the API and the readiness address.
-	callerShare   = 0.3
+	callerShare   = 0.2
 	operatorShare = 0.15
 )
 
