--- a/commands/node_settings.go
+++ b/commands/node_settings.go
@@ -59,6 +59,8 @@
 	// second: its rate times ColdOverage, plus ColdBurst.
 	ColdOverage float64 `json:"cold_overage"`
 	ColdBurst   float64 `json:"cold_burst"`
+	// LearnSpeeds estimates how fast engines are from their first tokens, and tells the other nodes.
+	LearnSpeeds bool `json:"learn_speeds"`
 	// EngineMemory keeps requests from engines whose KV memory has no room for them.
 	EngineMemory bool `json:"engine_memory"`
 	// Pace limits the requests to upstreams that have started or recovered.
@@ -94,7 +96,7 @@
 		StopTimeout: parse.Duration(10 * time.Second), TolerateHosts: 1, LogLevel: "info",
 		UploadIdle: parse.Duration(intake.DefaultIdle),
 		RetryRatio: 0.2, RetryBurst: 50, RetryWindow: parse.Duration(10 * time.Second),
-		ColdOverage: 1,
+		ColdOverage: 1, LearnSpeeds: true,
 	}
 	ps := parse.Into(file, data, s)
 	s.check(ps)
@@ -189,7 +191,7 @@
 func (s *NodeSettings) sched() sched.Options {
 	opts := sched.DefaultOptions()
 	opts.ColdOverage, opts.ColdBurst = s.ColdOverage, s.ColdBurst
-	opts.Pace, opts.GuardMemory = s.Pace, s.EngineMemory
+	opts.Pace, opts.GuardMemory, opts.LearnSpeeds = s.Pace, s.EngineMemory, s.LearnSpeeds
 	return opts
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -62,8 +62,8 @@
 	last    Ticket
 	waiting []*waiter
 	bytes   int
-	// out are requests that were put out for more urgent ones, until Advance tells so.
-	out []Told
+	// evicted are requests that have lost their place to others, until Advance tells so.
+	evicted []Told
 	// granted are the requests that were told to be sent and are not in flight yet.
 	granted int
 	counts  counts
@@ -111,8 +111,8 @@
 // Advance decides on the requests that wait: those that may be sent now, and those that can't be
 // served in time any more.
 func (q *Queue) Advance(now time.Time, room sched.Room) []Told {
-	told := q.out
-	q.out = nil
+	told := q.evicted
+	q.evicted = nil
 	q.sort(now, nil)
 	free := q.free(room)
 	kept := q.waiting[:0]
@@ -142,7 +142,7 @@
 // Recheck returns the time after which the queue is to be advanced at the latest; ok is false if
 // nothing waits.
 func (q *Queue) Recheck(now time.Time, room sched.Room) (after time.Duration, ok bool) {
-	return q.recheck(now, room), len(q.waiting) > 0 || len(q.out) > 0
+	return q.recheck(now, room), len(q.waiting) > 0 || len(q.evicted) > 0
 }
 
 // Taken records that a request that was to be sent is in flight, or was given up.
@@ -161,8 +161,8 @@
 // Close rejects what waits. From then on nothing waits.
 func (q *Queue) Close(now time.Time) []Told {
 	q.closed = true
-	told := q.out
-	q.out = nil
+	told := q.evicted
+	q.evicted = nil
 	for _, w := range q.waiting {
 		told = append(told, Told{Ticket: w.ticket, Decision: q.reject(w, sched.Room{}, sched.Overloaded), Waited: now.Sub(w.since)})
 	}
@@ -204,7 +204,7 @@
 }
 
 // makeRoom reports whether a request fits into the queue at a place in the order. The last ones
-// are put out for it if they come after it.
+// are evicted if they come after it.
 func (q *Queue) makeRoom(now time.Time, w *waiter, place int, room sched.Room) bool {
 	keep, bytes := len(q.waiting), q.bytes
 	for keep >= q.opts.MaxCount || bytes+w.req.Bytes > q.opts.MaxBytes {
@@ -215,7 +215,7 @@
 		bytes -= q.waiting[keep].req.Bytes
 	}
 	for _, out := range q.waiting[keep:] {
-		q.out = append(q.out, Told{Ticket: out.ticket, Decision: q.reject(out, room, sched.Full), Waited: now.Sub(out.since)})
+		q.evicted = append(q.evicted, Told{Ticket: out.ticket, Decision: q.reject(out, room, sched.Full), Waited: now.Sub(out.since)})
 	}
 	clear(q.waiting[keep:])
 	q.waiting, q.bytes = q.waiting[:keep], bytes
--- a/core/sched/balancer.go
+++ b/core/sched/balancer.go
@@ -81,6 +81,9 @@
 	ColdOverage, ColdBurst float64
 	// Pace limits the requests to upstreams that have started or recovered.
 	Pace bool
+	// LearnSpeeds is set if the speed of a service's engines is estimated from their first tokens,
+	// and the nodes tell each other of slow engines.
+	LearnSpeeds bool
 	// SharePlaces is set if the nodes tell each other of requests without prompts, so that each
 	// knows which places of the upstreams are taken.
 	SharePlaces bool
@@ -93,7 +96,7 @@
 	return Options{
 		HomeBonus: 20 * time.Millisecond, HomeRanks: 3, RecomputeWeight: 4, SafeShare: 0.4, LateWeight: 8, LimitCost: 400 * time.Millisecond,
 		EjectAfter: 2, EjectTime: time.Second, EjectShare: 0.4,
-		ColdOverage: 1,
+		ColdOverage: 1, LearnSpeeds: true,
 	}
 }
 
@@ -127,7 +130,7 @@
 	// idlePacedToo is set while paced upstreams without requests of this node may be chosen before
 	// their time.
 	idlePacedToo bool
-	// surveying is set during a Survey, which must not change the paces.
+	// surveying is set during a Survey, which must change neither paces nor slowdowns.
 	surveying bool
 	// nodes is the number of nodes in contact with this one.
 	nodes int
@@ -235,7 +238,9 @@
 		return c, u, t.limiter != nil
 	}
 	u.Uncached, u.Parts = c.Uncached, q.Parts
-	u.Slowdown = t.evidence * t.speed.nominal()
+	if b.opts.LearnSpeeds {
+		u.Slowdown = t.evidence * t.speed.nominal()
+	}
 	t.evidence = 0
 	return c, u, true
 }
@@ -250,7 +255,7 @@
 	if c.Rank < 0 {
 		return
 	}
-	if c.Fetched == 0 {
+	if b.opts.LearnSpeeds && c.Fetched == 0 {
 		t.speed.observe(c.Uncached+c.waitTokens, took)
 	}
 	t.observe(t.overhead()+t.prefillTime(c.Uncached), c.Wait, took)
--- a/core/sched/loads.go
+++ b/core/sched/loads.go
@@ -20,7 +20,7 @@
 	// crowdedTime is how long nodes tell of each request after an upstream rejected one as full.
 	crowdedTime = time.Second
 	// maxToldLoads bounds the loads of other nodes that are remembered for one service.
-	maxToldLoads = 256
+	maxToldLoads = 1024
 )
 
 // serviceLoad is what a node knows of the load of a service without prompts.
--- a/io/front/admit.go
+++ b/io/front/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelgap/core/admit"
+	"dotterelgap/core/policy"
 	"dotterelgap/core/sched"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +39,18 @@
 	return q
 }
 
+// forget deletes the queues of services that are not in the policy any more.
+func (a *admission) forget(t *policy.Table) {
+	if a == nil || t == nil {
+		return
+	}
+	for name, q := range a.queues {
+		if _, ok := t.Service(name); !ok && len(q.waiting) == 0 {
+			delete(a.queues, name)
+		}
+	}
+}
+
 // ask decides on a request. If it waits, the channel gets the decision.
 func (a *admission) ask(r admit.Request, service string) (sched.Decision, admit.Ticket, <-chan admit.Told) {
 	q := a.queue(service)
--- a/io/front/barred.go
+++ b/io/front/barred.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -41,6 +42,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.balancer.SetEvacuated(time.Now(), e) {
+		f.metrics.evacuated.Record(context.Background(), int64(len(e.Places)))
 		f.log.Info("front: the evacuated places changed", zap.Uint64("number", e.Number), zap.Any("places", e.Places))
 	}
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -71,8 +71,7 @@
 	// MaxCallers limits the connections of callers; 0 means no limit.
 	MaxCallers int
 	// Admission is set if requests for services without prompts wait for a place at their
-	// upstreams, or are rejected early, and engines get no request for which their memory has no
-	// room.
+	// upstreams, or are rejected early.
 	Admission bool
 	// Intake bounds the memory of the callers' heads and bodies; nil means no bound.
 	Intake *intake.Gate
@@ -181,6 +180,7 @@
 		return e
 	})
 	f.updateCold()
+	f.admission.forget(table)
 }
 
 // SetEntries sets the entries that share the retry budget and the limits of upstreams.
--- a/io/front/metrics.go
+++ b/io/front/metrics.go
@@ -23,6 +23,7 @@
 	// pacedRequests counts the requests that found only paced upstreams, paced is the number of those.
 	pacedRequests metric.Int64Counter
 	paced         metric.Int64Gauge
+	evacuated     metric.Int64Gauge
 	waiting       metric.Int64UpDownCounter
 	rejected      metric.Int64Counter
 	waited        metric.Float64Histogram
@@ -38,6 +39,7 @@
 			"Quarantines of prompt parts that this node began or lifted."),
 		pacedRequests: telem.Counter("front", "front_paced_requests", "Requests that found only upstreams that are paced."),
 		paced:         telem.Amount("front", "front_paced_upstreams", "Upstreams that are paced: cold, started or recovered lately."),
+		evacuated:     telem.Amount("front", "front_evacuated_places", "Places that the operators have evacuated."),
 		waiting:       telem.UpDown("front", "front_waiting", "Requests that wait for a place at an upstream."),
 		rejected:      telem.Counter("front", "front_not_admitted", "Requests that admission rejected, by reason."),
 		waited:        telem.Seconds("front", "front_wait_seconds", "Time that requests waited for a place at an upstream."),
