--- a/core/sched/pacing.go
+++ b/core/sched/pacing.go
@@ -176,11 +176,3 @@
 	}
 	return Update{}, false
 }
-
-// PaceOf returns the rate of this node's requests to an upstream, and 0 if it is not paced.
-func (b *Balancer) PaceOf(id string) float64 {
-	if t, ok := b.targets[id]; ok && t.pace != nil {
-		return t.pace.Rate()
-	}
-	return 0
-}
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -71,6 +71,7 @@
 	c.mu.Unlock()
 	limit, _, _ := c.cs.limits.Head()
 	if read > limit+headSlack {
+		c.cs.gate.metrics.end(endedTooLong)
 		return "431 Request Header Fields Too Large", errHeadTooLong
 	}
 	if !c.cs.gate.reserve(id, int64(read)*headCost, time.Now().Add(waitLimit)) {
--- a/io/intake/gate.go
+++ b/io/intake/gate.go
@@ -23,7 +23,8 @@
 
 // Gate bounds the memory of the heads and bodies of one kind of client.
 type Gate struct {
-	idle time.Duration
+	idle    time.Duration
+	metrics metrics
 
 	mu    sync.Mutex
 	meter *upload.Meter
@@ -40,7 +41,10 @@
 	if opts.Idle <= 0 {
 		opts.Idle = DefaultIdle
 	}
-	return &Gate{idle: opts.Idle, meter: upload.NewMeter(opts.Memory), ends: map[upload.ID]func(){}, freed: make(chan struct{})}
+	return &Gate{
+		idle: opts.Idle, metrics: newMetrics(),
+		meter: upload.NewMeter(opts.Memory), ends: map[upload.ID]func(){}, freed: make(chan struct{}),
+	}
 }
 
 // open registers an upload. end is called, without a lock, if it has to yield.
@@ -61,23 +65,35 @@
 	for {
 		now := time.Now()
 		g.mu.Lock()
+		before := g.meter.Used()
 		answer, victim := g.meter.Reserve(now, id, bytes)
+		g.metrics.hold(g.meter.Used() - before)
 		freed, end := g.freed, g.ends[victim]
 		if answer != upload.Wait {
 			g.mu.Unlock()
-			return answer == upload.Granted
+			return g.granted(answer)
 		}
 		g.waiting++
 		g.mu.Unlock()
 		if end != nil {
+			g.metrics.end(endedYielded)
 			end()
 		}
 		if !waitFor(freed, limit.Sub(now)) {
+			g.metrics.end(endedNoMemory)
 			return false
 		}
 	}
 }
 
+// granted reports whether the answer to an upload is Granted, and counts one that is rejected.
+func (g *Gate) granted(a upload.Answer) bool {
+	if a == upload.Rejected {
+		g.metrics.end(endedNoMemory)
+	}
+	return a == upload.Granted
+}
+
 // waitFor waits until the channel is closed and returns false if that takes too long.
 func waitFor(freed <-chan struct{}, most time.Duration) bool {
 	t := time.NewTimer(most)
@@ -105,7 +121,9 @@
 func (g *Gate) release(id upload.ID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := g.meter.Used()
 	g.meter.Release(id)
+	g.metrics.hold(g.meter.Used() - before)
 	delete(g.ends, id)
 	if g.waiting > 0 {
 		g.waiting = 0
@@ -124,6 +142,7 @@
 	if end == nil {
 		return false
 	}
+	g.metrics.end(endedStalled)
 	end()
 	return true
 }
