review case 8: an acknowledged leave is forgotten when all nodes are killed

An engine signs off, all three nodes are killed and started again within a second, and a check-in that the engine had sent before arrives 2.5 s late. Nodes in touch then send 98 or 99 of 400 orders to that engine, 4.9 s and more after the acknowledgement (drain_ms is 2 s); 3 orders are lost when it exits.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x review/tools-2/bin/review2 ] || exit 2
+exec review/tools-2/bin/review2 leave review/8/record.txt
