Pass the file system of the data folder to the node command

The platform's tests can now run nodes as processes beside disks whose syncs are slow, without a switch in the product: their binary passes its own file system to commands.ExecuteOn. No change of behaviour.

--- a/commands/node.go
+++ b/commands/node.go
@@ -11,9 +11,9 @@
 
 	"dotterelgap/core/quota"
 	"dotterelgap/io/conns"
+	"dotterelgap/io/disk"
 	"dotterelgap/io/intake"
 	"dotterelgap/io/node"
-	"dotterelgap/io/sigs"
 	"dotterelgap/io/telem"
 	"dotterelgap/io/wire"
 	"dotterelgap/platform"
@@ -66,13 +66,13 @@
 			if *file == "" {
 				return &UsageError{Message: "needs -config"}
 			}
-			return runNode(ctx, t.signals, *file, &o)
+			return runNode(ctx, t, *file, &o)
 		},
 	}
 }
 
-func runNode(ctx context.Context, signals *sigs.Signals, file string, o *nodeOverrides) error {
-	signals.IgnoreClosedOutput()
+func runNode(ctx context.Context, term *terminal, file string, o *nodeOverrides) error {
+	term.signals.IgnoreClosedOutput()
 	s, err := readNodeSettings(file, o)
 	if err != nil {
 		return err
@@ -83,7 +83,7 @@
 		return err
 	}
 	t.Log = t.Log.With(zap.String("node", s.Name))
-	n, err := startNode(t, s)
+	n, err := startNode(t, term.fs, s)
 	if err != nil {
 		return err
 	}
@@ -93,7 +93,7 @@
 	t.Log.Info("node: listening", zap.Stringer("callers", s.Listen), zap.Stringer("internal", s.Internal))
 	closed := make(chan struct{})
 	var watching sync.WaitGroup
-	watching.Go(func() { watchSettings(closed, signals.Hangups(), t.Log, file, o, n) })
+	watching.Go(func() { watchSettings(closed, term.signals.Hangups(), t.Log, file, o, n) })
 	<-ctx.Done()
 	t.Log.Info("node: stopping")
 	closeCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout.Std()-stopMargin)
@@ -105,14 +105,14 @@
 	return trace.NewAggregate(err, t.Close())
 }
 
-func startNode(t *telem.Telemetry, s *NodeSettings) (*node.Node, error) {
+func startNode(t *telem.Telemetry, fsys disk.FS, s *NodeSettings) (*node.Node, error) {
 	server, err := wire.Listen(wire.Params{Addr: s.Internal.AddrPort, Log: t.Log})
 	if err != nil {
 		return nil, err
 	}
 	deps := node.Deps{
 		Log: t.Log, Pool: wire.NewPool(nil), Server: server, Rand: newRand(), Place: s.place(), Regions: s.Regions, Seeds: s.seeds(),
-		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Size: s.size(), Retry: s.retry(), Sched: s.sched(), Quota: quota.DefaultOptions(),
+		FS: fsys, DataDir: s.DataDir, Bootstrap: s.Bootstrap, Size: s.size(), Retry: s.retry(), Sched: s.sched(), Quota: quota.DefaultOptions(),
 		Admission: s.Admission, LeaveNotice: leaveNotice, Memory: memoryPart(1, s.MemoryMB), Intake: s.callerIntake(), Operators: s.operatorIntake(),
 		Interface: node.Interface{
 			Dialect: platform.Dialect(), Decode: platform.DecodePolicy, MaxBody: platform.MaxBody,
--- a/commands/root.go
+++ b/commands/root.go
@@ -8,6 +8,7 @@
 	"io"
 	"strings"
 
+	"dotterelgap/io/disk"
 	"dotterelgap/io/sigs"
 
 	"github.com/peterbourgon/ff/v3"
@@ -18,17 +19,25 @@
 // flag -log-level.
 const envPrefix = "DOTTERELGAP"
 
-// terminal holds the input and output streams of a command, and the signals of its process.
+// terminal holds the input and output streams of a command, the signals of its process, and the file
+// system of the data folder.
 type terminal struct {
 	in      io.Reader
 	out     io.Writer
 	err     io.Writer
 	signals *sigs.Signals
+	fs      disk.FS
 }
 
 // Execute runs the command line and returns the exit code.
 func Execute(args []string, in io.Reader, out, errOut io.Writer) int {
-	t := &terminal{signals: sigs.Catch(), in: in, out: out, err: errOut}
+	return ExecuteOn(disk.OS(), args, in, out, errOut)
+}
+
+// ExecuteOn runs the command line with the data folder of a node in a file system, and returns the exit
+// code.
+func ExecuteOn(fsys disk.FS, args []string, in io.Reader, out, errOut io.Writer) int {
+	t := &terminal{signals: sigs.Catch(), in: in, out: out, err: errOut, fs: fsys}
 	err := newRoot(t).ParseAndRun(t.signals.Context(), args)
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		_, _ = fmt.Fprintln(errOut, "dotterelgap:", err)
--- a/io/node/host.go
+++ b/io/node/host.go
@@ -117,7 +117,7 @@
 
 // runKeeper opens the folder's keeper. The returned function closes it.
 func (r *hostRunner) runKeeper(f ctrl.Folder, h *ctrl.Host) func() {
-	k, err := openKeeper(r.n.log, disk.OS(), r.n.deps.DataDir, f.Identity.Member, h.HolderEnded)
+	k, err := openKeeper(r.n.log, r.n.deps.FS, r.n.deps.DataDir, f.Identity.Member, h.HolderEnded)
 	if err != nil {
 		r.n.log.Error("node: opening the keeper failed", zap.Error(err))
 		return func() {}
@@ -134,7 +134,7 @@
 // open opens the data folder, or creates it: for the first member of a new group if this
 // node is the founder, else for a new member.
 func (r *hostRunner) open(ctx context.Context) (ctrl.Folder, error) {
-	f, err := ctrl.OpenFolder(disk.OS(), r.n.deps.DataDir)
+	f, err := ctrl.OpenFolder(r.n.deps.FS, r.n.deps.DataDir)
 	if err == nil || !ctrl.IsEmpty(err) {
 		return f, err
 	}
@@ -144,7 +144,7 @@
 			return f, err
 		}
 	}
-	f, err = ctrl.MakeFolder(disk.OS(), r.n.deps.DataDir, r.rand, r.n.self, found)
+	f, err = ctrl.MakeFolder(r.n.deps.FS, r.n.deps.DataDir, r.rand, r.n.self, found)
 	r.n.log.Info("node: created a data folder", zap.Bool("founder", found), zap.Error(err))
 	return f, err
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -19,6 +19,7 @@
 	"dotterelgap/core/state"
 	"dotterelgap/io/conns"
 	"dotterelgap/io/ctrl"
+	"dotterelgap/io/disk"
 	"dotterelgap/io/front"
 	"dotterelgap/io/intake"
 	"dotterelgap/io/mesh"
@@ -54,6 +55,8 @@
 	Callers, API, Ready net.Listener
 	// Seeds are the internal addresses of nodes to contact first.
 	Seeds []netip.AddrPort
+	// FS is the file system of the data folder.
+	FS disk.FS
 	// DataDir is the data folder. It is empty if the node is not a control host.
 	DataDir string
 	// Bootstrap allows forming a new group from an empty folder.
--- a/io/node/quarantines.go
+++ b/io/node/quarantines.go
@@ -24,7 +24,7 @@
 // keepQuarantines reads the quarantines from the data folder and then writes each change
 // to it, until ctx ends.
 func (n *Node) keepQuarantines(ctx context.Context) {
-	file := disk.NewValue[savedQuarantines](disk.OS(), n.deps.DataDir, quarantineFile)
+	file := disk.NewValue[savedQuarantines](n.deps.FS, n.deps.DataDir, quarantineFile)
 	saved, err := file.Load()
 	if err != nil {
 		n.log.Error("node: reading the quarantines failed", zap.Error(err))
--- a/io/node/quarantines_test.go
+++ b/io/node/quarantines_test.go
@@ -41,7 +41,7 @@
 	m := startMesh(t)
 	q := fleet.Quarantine{Parts: []uint64{7}, Round: 1, Left: time.Minute}
 	m.Quarantine(q)
-	n := &Node{deps: Deps{DataDir: t.TempDir()}, log: zap.NewNop(), mesh: m, quarantined: make(chan struct{}, 1)}
+	n := &Node{deps: Deps{FS: disk.OS(), DataDir: t.TempDir()}, log: zap.NewNop(), mesh: m, quarantined: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
