End the data race of callers that give up on a control host's loop

Cause: onLoop gives up after three seconds and returns, but the function stays queued and runs later. It then writes the variables of a caller that has returned, in HasLeader as in the ten other places that use onLoop with a captured variable. setAway could even change refills that were on their way.

Change: the function and the caller that gives up claim the task; only the first of them goes on. Where the function is running at that moment, the caller waits for it. All callers of onLoop are covered, so none of them needs an atomic of its own.

--- a/io/ctrl/bench_test.go
+++ b/io/ctrl/bench_test.go
@@ -45,26 +45,33 @@
 func startIn(b testing.TB, dir string) (*ctrl.Host, *ctrl.Client, *wire.Pool) {
 	b.Helper()
 	srv := listen(b)
-	id := disk.Identity{Member: 1}
-	first := raft.Bootstrap(raft.Member{ID: 1, Addr: srv.Addr()}).Snapshot
-	if err := disk.Create(disk.OS(), dir, id, first); err != nil {
+	createFolder(b, dir, srv.Addr())
+	return serveFolder(b, dir, srv, func(*ctrl.Deps) {})
+}
+
+// createFolder creates the data folder of the only host of a group.
+func createFolder(b testing.TB, dir string, addr netip.AddrPort) {
+	b.Helper()
+	first := raft.Bootstrap(raft.Member{ID: 1, Addr: addr}).Snapshot
+	if err := disk.Create(disk.OS(), dir, disk.Identity{Member: 1}, first); err != nil {
 		b.Fatal(err)
 	}
-	return serveFolder(b, dir, srv)
 }
 
-// serveFolder starts the host of an existing data folder.
-func serveFolder(b testing.TB, dir string, srv *wire.Server) (*ctrl.Host, *ctrl.Client, *wire.Pool) {
+// serveFolder starts the host of an existing data folder. modify may change its dependencies.
+func serveFolder(b testing.TB, dir string, srv *wire.Server, modify func(*ctrl.Deps)) (*ctrl.Host, *ctrl.Client, *wire.Pool) {
 	b.Helper()
 	store, id, saved, err := disk.Open(disk.OS(), dir)
 	if err != nil {
 		b.Fatal(err)
 	}
 	pool := wire.NewPool(nil)
-	h, err := ctrl.Start(ctrl.Deps{
+	deps := ctrl.Deps{
 		Log: zap.NewNop(), Store: store, Identity: id, Saved: saved, Pool: pool, Addr: srv.Addr(),
 		Size: 1, Rand: rand.New(rand.NewPCG(1, 2)), Fatal: func(error) {},
-	})
+	}
+	modify(&deps)
+	h, err := ctrl.Start(deps)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/io/ctrl/evacuate_test.go
+++ b/io/ctrl/evacuate_test.go
@@ -33,7 +33,7 @@
 			}
 			copied := t.TempDir()
 			copyFolder(t, dir, copied)
-			_, c, _ = serveFolder(t, copied, listen(t))
+			_, c, _ = serveFolder(t, copied, listen(t), func(*ctrl.Deps) {})
 			got, err := ctrl.Call[wire.PolicyReply](t.Context(), c, "Control.Policy", &wire.PolicyArgs{})
 			is.NoErr(err)
 			is.Equal(got.Evacuations, fleet.Evacuations{Number: 1, Places: []fleet.Place{"a"}})
--- a/io/ctrl/propose.go
+++ b/io/ctrl/propose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"dotterelgap/core/raft"
@@ -141,27 +142,34 @@
 	}
 }
 
-// onLoop runs f on the loop and waits for it. It returns false if f has not finished
-// within requestTimeout, or if the host is closed.
+// onLoop runs f on the loop and waits for it. It returns false if f did not run: it has not begun
+// within requestTimeout, or the host is closed. The caller may use what f writes in either case.
 func (h *Host) onLoop(f func(now time.Time)) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
+	// claimed is set by the first of f and of the caller that gives up.
+	var claimed atomic.Bool
 	done := make(chan struct{})
 	err := h.post(ctx, func(now time.Time) {
-		f(now)
-		close(done)
+		if claimed.CompareAndSwap(false, true) {
+			f(now)
+			close(done)
+		}
 	})
 	if err != nil {
 		return false
 	}
 	select {
 	case <-ctx.Done():
-		return false
 	case <-h.done:
-		return false
 	case <-done:
 		return true
 	}
+	if claimed.CompareAndSwap(false, true) {
+		return false
+	}
+	<-done // f runs at this moment
+	return true
 }
 
 func (h *Host) memberAddrs() []netip.AddrPort {
