Make a learner that keeps up a voter, though the log grows all the time

The nodes form a group of one voter and two learners within 1.1 s and stay like that; no configuration is acknowledged (20 s and longer), since the group has too few voters.

Cause: Promote asked for a learner that has every committed entry. Each of three nodes sends a statement of its budgets every 150 ms, so that 20 entries a second are committed by the leader alone, while a learner needs two syncs and a round trip for each of its batches: above some 50 ms there is always an entry that it lacks.

Ruled out: a membership change that waits for the one before it (the last line of the leader's log): that one is committed; the leader never gets to ask for another. Lost messages: the learners' logs grow at the leader's pace.

Change: the leader notes since when a member has had what was committed at that time, and promotes a learner that was up to date within the last four election timeouts (Ongaro's rounds, with the time of the last round). Safety does not depend on it: a member that lags is like any slow voter, and the change still needs the one before it committed.

--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -12,9 +12,9 @@
 	return m.change(now, m.members.With(mem))
 }
 
-// Promote makes a learner a voter. The learner must have every committed entry on its
-// disk and have replied within the election timeout: an unreachable voter would make the
-// quorum larger without contributing to it.
+// Promote makes a learner a voter. The learner must keep up with the log and have replied
+// within the election timeout: an unreachable voter would make the quorum larger without
+// contributing to it.
 func (m *Machine) Promote(now time.Time, id MemberID) (uint64, error) {
 	mem, ok := m.members.Find(id)
 	if !ok {
--- a/core/raft/errors.go
+++ b/core/raft/errors.go
@@ -23,8 +23,8 @@
 	return fmt.Sprintf("member %x is not in the group", uint64(e.Member))
 }
 
-// BehindError is returned when a learner can't be promoted: its log lacks committed
-// entries, or it has not replied within the election timeout.
+// BehindError is returned when a learner can't be promoted: it does not keep up with the
+// log, or it has not replied within the election timeout.
 type BehindError struct {
 	Member        MemberID
 	Match, Commit uint64
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -68,6 +68,10 @@
 	matchIndex, nextIndex uint64
 	lastContact           time.Time
 	readSeq               uint64
+	// The member had on its disk what was committed at upToDateAt. goal is what was committed at
+	// goalAt.
+	upToDateAt, goalAt time.Time
+	goal               uint64
 	// inFlight is set while sent entries or a snapshot await a reply.
 	inFlight bool
 	sentAt   time.Time
@@ -240,7 +244,7 @@
 func (m *Machine) progress(id MemberID, now time.Time) *progress {
 	p, ok := m.peers[id]
 	if !ok {
-		p = &progress{nextIndex: m.log.last() + 1, lastContact: now}
+		p = &progress{nextIndex: m.log.last() + 1, lastContact: now, goal: m.commitIndex, goalAt: now}
 		m.peers[id] = p
 	}
 	return p
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -161,6 +161,7 @@
 		p.inFlight = false
 	}
 	m.advanceCommit(now)
+	m.measureLag(now, p)
 	m.confirmReads()
 	if m.role == Leader {
 		m.replicate(now, msg.From, false)
--- a/core/raft/voters.go
+++ b/core/raft/voters.go
@@ -127,11 +127,28 @@
 	return m.role == Leader && ok
 }
 
-// caughtUp reports whether a member has every committed entry on its disk and has replied
-// within the election timeout.
+// lagsPerElection is the time for which a member that keeps up may be behind, in election timeouts:
+// a log that always grows is never whole on a disk that is slow.
+const lagsPerElection = 4
+
+// caughtUp reports whether a member keeps up with the log, and has replied within the election
+// timeout.
 func (m *Machine) caughtUp(now time.Time, id MemberID) bool {
 	p := m.progress(id, now)
-	return p.matchIndex >= m.commitIndex && now.Sub(p.lastContact) < m.electionTimeout
+	m.measureLag(now, p)
+	return now.Sub(p.upToDateAt) < lagsPerElection*m.electionTimeout && now.Sub(p.lastContact) < m.electionTimeout
+}
+
+// measureLag records since when a member has had on its disk what was committed then.
+func (m *Machine) measureLag(now time.Time, p *progress) {
+	if p.matchIndex < p.goal {
+		return
+	}
+	p.upToDateAt = p.goalAt
+	if p.matchIndex >= m.commitIndex {
+		p.upToDateAt = now
+	}
+	p.goal, p.goalAt = m.commitIndex, now
 }
 
 // mostBehind returns the voter, other than this member, that has been silent for longest or
