Write the log of the control group beside the loop, and at all hosts at once

With one slow disk of three, a configuration took 1.5 s.

Cause: the loop of a control host wrote and synced before it did anything else. So an entry cost the rest of the sync that was under way at the leader (statements of budgets keep one under way), the leader's own sync, the rest of the follower's, and the follower's, one after the other. Heartbeats, votes and reads waited in the same queue, so that a slow disk also cost leaders.

Ruled out: entries that are synced one by one (drainQueue has always gathered them), and a round more until the leader knows (the reply commits).

Change: a goroutine writes; the next batch is gathered meanwhile. core/raft tells others only what is Stable: a follower replies to heartbeats and reads at once, to entries once they are on its disk, and says what it has received, so that the leader sends on. A leader's entries leave before its own sync. A mark tells whether entries have been replaced since a write began; else the end of the first write would count for what follows (A, B, A).

--- a/core/raft/group_test.go
+++ b/core/raft/group_test.go
@@ -24,6 +24,7 @@
 	lost    bool
 	// starts is part of the random seed, so that each incarnation has other election timeouts.
 	starts uint64
+	disk   slowDisk
 }
 
 // group is a group of hosts over a simulated network that loses, repeats and reorders
@@ -70,14 +71,19 @@
 	h.base = h.saved.Snapshot.Index
 	saved := h.saved
 	saved.Entries = slices.Clone(saved.Entries)
+	h.disk.begin()
 	h.machine = raft.New(raft.Params{
 		Self: h.id, Saved: saved, Now: g.now, ElectionTimeout: 300 * time.Millisecond, TakeLimit: 2, KeptEntries: 3,
 		Rand: rand.New(rand.NewPCG(uint64(h.id), h.starts)),
 	})
 }
 
-// crash stops a host, which loses what it has not persisted.
-func (g *group) crash(h *host) {
+// crash stops a host, which loses what it has not synced but for the first writes.
+func (g *group) crash(h *host, writes int) {
+	for _, w := range h.disk.writes[:min(writes, len(h.disk.writes))] {
+		w.persist(&h.saved)
+	}
+	h.disk.writes = nil
 	h.up = false
 }
 
@@ -85,6 +91,7 @@
 // which is a new member.
 func (g *group) loseDisk(h *host) {
 	h.up, h.lost = false, true
+	h.disk.writes = nil
 	g.serial++
 	fresh := &host{id: raft.MemberID(g.serial)}
 	g.hosts = append(g.hosts, fresh)
@@ -102,10 +109,12 @@
 		if out.Empty() {
 			break
 		}
-		g.persist(h, out)
-		h.machine.Stable(g.now, h.machine.LastIndex())
-		g.net = append(g.net, out.Messages...)
+		h.disk.write(out, h.machine)
 		g.apply(h, out)
+		g.send(h, out.Messages)
+		if h.disk.quick() {
+			g.sync(h, len(h.disk.writes))
+		}
 		if h.machine.Behind() {
 			break // the driver reads the clock and messages first
 		}
@@ -118,24 +127,6 @@
 	}
 }
 
-func (g *group) persist(h *host, out raft.Output) {
-	if out.State != nil {
-		h.saved.State = *out.State
-	}
-	if out.Installed != nil {
-		h.saved.Snapshot = *out.Installed
-		h.saved.Entries = h.machine.Tail()
-		h.applied, h.base = nil, out.Installed.Index
-		g.checkSnapshot(*out.Installed)
-		return
-	}
-	if len(out.Entries) == 0 {
-		return
-	}
-	at := out.Entries[0].Index - h.saved.Snapshot.Index - 1
-	h.saved.Entries = append(slices.Clone(h.saved.Entries[:at]), out.Entries...)
-}
-
 // checkSnapshot compares a snapshot's data, the digest of its last entry, with the
 // history.
 func (g *group) checkSnapshot(s raft.Snapshot) {
@@ -149,6 +140,10 @@
 }
 
 func (g *group) apply(h *host, out raft.Output) {
+	if out.Installed != nil {
+		h.applied, h.base = nil, out.Installed.Index
+		g.checkSnapshot(*out.Installed)
+	}
 	for _, e := range out.Committed {
 		data := append([]byte{byte(e.Kind)}, e.Data...)
 		if known, ok := g.history[e.Index]; ok && !bytes.Equal(known, data) {
@@ -189,6 +184,7 @@
 func (g *group) tick(d time.Duration) {
 	g.now = g.now.Add(d)
 	for _, h := range g.hosts {
+		g.sync(h, h.disk.finished(g.now))
 		g.step(h, func(m *raft.Machine) { m.Tick(g.now) })
 	}
 }
@@ -269,7 +265,9 @@
 	}
 	index := h.base + uint64(len(h.applied))
 	snap := h.machine.Compact(index, []byte(g.digest(index)))
-	h.saved.Snapshot = snap
-	h.saved.Entries = h.machine.Tail()
 	h.applied, h.base = nil, index
+	h.disk.compact(snap, h.machine)
+	if h.disk.quick() {
+		g.sync(h, len(h.disk.writes))
+	}
 }
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -97,7 +97,15 @@
 	membersIndex uint64
 	commitIndex  uint64
 	lastApplied  uint64
-	stable       uint64
+	// stable is the last index that is on the disk.
+	stable uint64
+	// rewrites counts the times that entries were replaced.
+	rewrites uint64
+	// matched is the last index up to which the log equals that of the leader of the term, and
+	// acked the last one that it knows to be on this disk.
+	matched, acked uint64
+	// repliedRead is the latest read round of the leader that was replied to.
+	repliedRead uint64
 
 	role        Role
 	leader      MemberID
@@ -273,6 +281,7 @@
 	}
 	m.role = Follower
 	m.leader = leader
+	m.matched, m.acked, m.repliedRead = 0, 0, 0
 	m.failReads()
 	m.resetTimeout(now)
 }
@@ -311,11 +320,27 @@
 	}
 }
 
-// Stable records that the log is synced to disk up to index.
-func (m *Machine) Stable(now time.Time, index uint64) {
-	m.stable = min(max(m.stable, index), m.log.last())
-	if m.role == Leader {
+// Mark is a state of the log, for Stable.
+type Mark struct {
+	last, rewrites uint64
+}
+
+// Mark returns the present state of the log, which includes all entries that Take has returned.
+func (m *Machine) Mark() Mark { return Mark{last: m.log.last(), rewrites: m.rewrites} }
+
+// Stable records that what was to be written when the mark was taken is on the disk. It has no effect if
+// entries have been replaced since then: the write that replaces them is still to come, and its
+// mark counts for all.
+func (m *Machine) Stable(now time.Time, mark Mark) {
+	if mark.rewrites != m.rewrites || mark.last <= m.stable {
+		return
+	}
+	m.stable = mark.last
+	switch m.role {
+	case Leader:
 		m.advanceCommit(now)
+	case Follower:
+		m.acknowledge()
 	}
 }
 
--- a/core/raft/message.go
+++ b/core/raft/message.go
@@ -70,12 +70,15 @@
 	// ReadSeq numbers the rounds in which a leader confirms that it still leads.
 	ReadSeq uint64 `cbor:"9,keyasint"`
 	// Granted is set in the reply to a vote that is granted or an append that succeeds.
-	// Match is the last index that an append matched; Hint is the last index that may
-	// match after a failed one.
+	// Match is the last index up to which the member has the leader's log on its disk; Hint is the
+	// last index that may match after a failed append.
 	Granted  bool      `cbor:"10,keyasint"`
 	Match    uint64    `cbor:"11,keyasint"`
 	Hint     uint64    `cbor:"12,keyasint"`
 	Snapshot *Snapshot `cbor:"13,keyasint,omitempty"`
+	// Received is, in the reply to an append that succeeds, the last index that the member has from the
+	// leader, be it on its disk or not.
+	Received uint64 `cbor:"15,keyasint,omitempty"`
 	// Transfer is set in a vote request that the leader has asked for, so that it counts although
 	// the leader is alive.
 	Transfer bool `cbor:"14,keyasint,omitempty"`
@@ -90,13 +93,16 @@
 	OK bool
 }
 
-// Output is the work that a driver must do, in the order of the fields.
+// Output is the work that a driver must do. Writes are made in the order of the outputs, each with
+// the fields in their order.
 type Output struct {
 	State *State
 	// Installed is a snapshot from a leader. It replaces the log and the state machine.
 	Installed *Snapshot
 	// Entries are to be appended; existing entries from the first index on are removed.
-	Entries   []Entry
+	Entries []Entry
+	// Messages may be sent once every State and Installed up to this Output is on the disk. They do
+	// not wait for Entries.
 	Messages  []Message
 	Committed []Entry
 	Reads     []Read
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -41,13 +41,18 @@
 				}
 			},
 			"drop messages": func(*rapid.T) { g.net = nil },
-			"crash":         func(*rapid.T) { g.crash(host()) },
+			"crash":         func(t *rapid.T) { g.crash(host(), rapid.IntRange(0, 3).Draw(t, "writes")) },
+			"disk hangs":    func(*rapid.T) { host().disk.hangs = true },
+			"disk is slow": func(t *rapid.T) {
+				host().disk.delay = time.Duration(rapid.IntRange(0, 600).Draw(t, "delay")) * time.Millisecond
+			},
+			"sync": func(t *rapid.T) { g.sync(host(), rapid.IntRange(1, 3).Draw(t, "writes")) },
 			"crash before sync": func(t *rapid.T) {
 				h := host()
 				if h.up && !h.frozen && len(g.net) > 0 {
 					msg := g.net[packet()]
 					h.machine.Step(g.now, msg)
-					g.crash(h)
+					g.crash(h, rapid.IntRange(0, 3).Draw(t, "writes"))
 				}
 			},
 			"start": func(*rapid.T) {
@@ -112,6 +117,8 @@
 	clear(g.partitioned)
 	for _, h := range g.hosts {
 		h.frozen = false
+		h.disk.hangs, h.disk.delay = false, 0
+		g.sync(h, len(h.disk.writes))
 		if !h.up && !h.lost {
 			g.start(h)
 		}
@@ -283,7 +290,7 @@
 	l := g.leader()
 	g.step(l, func(m *raft.Machine) { _, _ = m.AddLearner(g.now, raft.Member{ID: fresh.id}) })
 	g.settle(10)
-	g.crash(fresh)
+	g.crash(fresh, 0)
 	g.settle(10)
 	g.step(l, func(m *raft.Machine) {
 		_, err := m.Promote(g.now, fresh.id)
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -97,12 +97,30 @@
 		m.replaceFrom(msg.Entries[i:])
 		break
 	}
-	reply.Granted = true
-	reply.Match = msg.Index + uint64(len(msg.Entries))
-	m.commitIndex = max(m.commitIndex, min(msg.Commit, reply.Match))
+	matched := msg.Index + uint64(len(msg.Entries))
+	m.matched = max(m.matched, matched)
+	m.commitIndex = max(m.commitIndex, min(msg.Commit, matched))
+	// The reply to new entries waits until they are on the disk. Heartbeats and reads don't.
+	if len(msg.Entries) == 0 || m.matched <= m.stable || msg.ReadSeq > m.repliedRead {
+		m.sendGranted(reply)
+	}
+}
+
+// sendGranted sends the reply to an append that succeeded.
+func (m *Machine) sendGranted(reply Message) {
+	m.acked = max(m.acked, min(m.matched, m.stable))
+	m.repliedRead = max(m.repliedRead, reply.ReadSeq)
+	reply.Granted, reply.Match, reply.Received = true, m.acked, m.matched
 	m.send(reply)
 }
 
+// acknowledge tells the leader that more of its log is on the disk.
+func (m *Machine) acknowledge() {
+	if m.leader != 0 && min(m.matched, m.stable) > m.acked {
+		m.sendGranted(Message{Kind: KindAppendReply, To: m.leader, Term: m.state.Term})
+	}
+}
+
 func (m *Machine) follow(now time.Time, leader MemberID) {
 	if m.role != Follower {
 		m.becomeFollower(now, m.state.Term, leader)
@@ -130,6 +148,9 @@
 // replaceFrom replaces the log from the first of the leader's entries on by these entries.
 func (m *Machine) replaceFrom(entries []Entry) {
 	first := entries[0].Index
+	if first <= m.log.last() {
+		m.rewrites++
+	}
 	m.log.truncate(first)
 	m.stable = min(m.stable, first-1)
 	m.log.entries = append(m.log.entries, entries...)
@@ -156,8 +177,8 @@
 	if msg.Match > p.matchIndex {
 		p.matchIndex = msg.Match
 	}
-	if msg.Match >= p.nextIndex {
-		p.nextIndex = msg.Match + 1
+	if received := max(msg.Match, msg.Received); received >= p.nextIndex {
+		p.nextIndex = received + 1
 		p.inFlight = false
 	}
 	m.advanceCommit(now)
@@ -177,17 +198,17 @@
 	}
 	m.follow(now, msg.From)
 	s := *msg.Snapshot
-	reply.Granted = true
-	reply.Match = s.Index
 	if s.Index > m.commitIndex {
 		m.install(s)
 	}
-	m.send(reply)
+	m.matched = max(m.matched, s.Index)
+	m.sendGranted(reply)
 }
 
 func (m *Machine) install(s Snapshot) {
 	m.collectCommitted()
 	m.log.compact(s)
+	m.rewrites++
 	m.out.Installed = &s
 	m.out.Committed = nil
 	m.out.Entries = m.log.from(s.Index+1, len(m.log.entries))
--- a/core/raft/take_test.go
+++ b/core/raft/take_test.go
@@ -24,7 +24,7 @@
 	m := raft.New(raft.Params{Self: 1, Saved: saved, Rand: rand.New(rand.NewPCG(1, 1)), Now: now, TakeLimit: 8})
 	m.Tick(now)
 	m.Take()
-	m.Stable(now, m.LastIndex())
+	m.Stable(now, m.Mark())
 	is.NoErr(m.Read(now, 7))
 	applied, steps := saved.Snapshot.Index, 0
 	for read := false; !read; steps++ {
@@ -56,7 +56,7 @@
 		is.NoErr(err)
 	}
 	m.Take()
-	m.Stable(now, m.LastIndex())
+	m.Stable(now, m.Mark())
 	m.Take()
 	last := m.LastIndex()
 	m.Compact(last, []byte("state"))
@@ -105,7 +105,7 @@
 	is.Equal(m.Status().Role, raft.Leader)
 	is.True(!m.Current())
 	m.Take()
-	m.Stable(now, m.LastIndex())
+	m.Stable(now, m.Mark())
 	for m.Behind() {
 		is.True(!m.Current())
 		m.Take()
--- a/core/raft/voters_test.go
+++ b/core/raft/voters_test.go
@@ -149,7 +149,7 @@
 	g := newGroup(3, t.Fatalf)
 	g.settle(40)
 	l, to := g.leader(), g.follower()
-	g.crash(to)
+	g.crash(to, 0)
 	g.step(l, func(m *raft.Machine) { is.NoErr(m.Transfer(g.now, to.id)) })
 	g.step(l, func(m *raft.Machine) {
 		_, _, err := m.Propose(g.now, nil)
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -26,8 +26,8 @@
 	tickInterval   = 20 * time.Millisecond
 	leaderInterval = 100 * time.Millisecond
 	suspectAfter   = 2 * time.Second
-	// slowSync is half of the time after which followers that hear nothing elect another leader.
-	slowSync = raft.DefaultElectionTimeout / 2
+	// slowSync is half of the shortest time after which an upstream gets no answer to a leave.
+	slowSync = 250 * time.Millisecond
 	// The log is compacted once the entries applied since the latest snapshot take
 	// compactFactor times the size of the snapshot, and at least compactBytes. With larger
 	// values, the host writes fewer snapshots but reads a longer log after a restart.
@@ -94,6 +94,7 @@
 	leaderWorkAt time.Time
 	failed       bool
 	clock        *clock
+	writer       *writer
 	leaderless   *leaderless
 	// sinceSnapshot is the size of the entries applied since the latest snapshot, and
 	// snapshotBytes the size of that snapshot.
@@ -129,6 +130,7 @@
 		leader:       newLeaderState(fleet.NewPresence(suspectAfter)),
 		metrics:      newMetrics(),
 		clock:        newClock(deps.Saved.Written),
+		writer:       newWriter(deps.Store),
 		leaderless:   newLeaderless(time.Now()),
 		applyPending: make(chan struct{}, 1),
 	}
@@ -150,6 +152,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
+	h.wg.Go(func() { h.writer.run(ctx) })
 	h.wg.Go(func() {
 		defer close(h.done)
 		h.run(ctx)
@@ -186,6 +189,8 @@
 		case t := <-h.queue:
 			t(time.Now())
 			h.drainQueue()
+		case res := <-h.writer.results:
+			h.finishWrite(time.Now(), res)
 		case <-h.applyPending:
 		case <-ticker.C:
 		}
@@ -209,21 +214,22 @@
 	}
 }
 
-// processOutput handles the output of the log machine until there is none. If many
-// entries remain to be applied, it returns early so that the loop handles ticks and
-// messages in between.
+// processOutput handles the output of the log machine until there is none, and has the disk write
+// what it must. If many entries remain to be applied, it returns early so that the loop handles ticks
+// and messages in between.
 func (h *Host) processOutput(now time.Time) {
 	for !h.failed {
 		out := h.machine.Take()
 		if out.Empty() {
 			break
 		}
-		if err := h.persist(out); err != nil {
+		if err := h.persist(now, out); err != nil {
 			h.fail(err)
 			return
 		}
-		h.machine.Stable(now, h.machine.LastIndex())
-		h.send(out.Messages)
+		if len(out.Messages) > 0 && !h.writer.hold(out.Messages) {
+			h.send(out.Messages)
+		}
 		h.apply(out)
 		h.completeReads(out.Reads)
 		if h.machine.Behind() {
@@ -236,29 +242,23 @@
 	}
 	h.detectRoleChange(now)
 	h.compact()
+	if !h.failed {
+		h.writer.start()
+	}
 }
 
-func (h *Host) persist(out raft.Output) error {
+// persist takes over a snapshot of the leader, and queues what is to be written.
+func (h *Host) persist(now time.Time, out raft.Output) error {
 	if out.Installed != nil {
 		if err := h.restore(*out.Installed); err != nil {
 			return err
 		}
-		return h.deps.Store.Compact(*out.Installed, h.machine.HardState(), h.machine.Tail())
-	}
-	if out.State == nil && len(out.Entries) == 0 {
-		return nil
 	}
-	h.metrics.recordSync(len(out.Entries))
 	if n := len(out.Entries); n > 0 {
 		h.clock.recordWrite(out.Entries[n-1])
 	}
-	begin := time.Now()
-	err := h.deps.Store.Append(out.State, out.Entries)
-	if took := time.Since(begin); took >= slowSync {
-		h.metrics.recordSlowSync()
-		h.log.Warn("control: the disk is slow; the group may lose its leader", zap.Duration("took", took))
-	}
-	return err
+	h.writer.add(now, out, h.machine)
+	return nil
 }
 
 // fail stops the host. After a failed sync it is unknown what is on the disk.
@@ -375,10 +375,7 @@
 		return
 	}
 	h.sinceSnapshot, h.snapshotBytes = 0, len(data)
-	snap := h.machine.Compact(h.applied, data)
-	if err := h.deps.Store.Compact(snap, h.machine.HardState(), h.machine.Tail()); err != nil {
-		h.fail(err)
-	}
+	h.writer.replace(h.machine.Compact(h.applied, data), h.machine)
 }
 
 // post queues a task, or returns an error once ctx ends or the host is closed.
--- /dev/null
+++ b/io/ctrl/writer.go
@@ -0,0 +1,156 @@
+package ctrl
+
+import (
+	"context"
+	"time"
+
+	"dotterelgap/core/raft"
+	"dotterelgap/io/disk"
+
+	"go.uber.org/zap"
+)
+
+// batch is what is written to the data folder at once, with one sync of the log file.
+type batch struct {
+	// snapshot, with the state and the entries after it at that time, replaces the folder's contents
+	// before state and entries are appended.
+	snapshot  *raft.Snapshot
+	baseState raft.State
+	tail      []raft.Entry
+	state     *raft.State
+	entries   []raft.Entry
+	// at is when the first of the entries came, and mark covers the batch.
+	at   time.Time
+	mark raft.Mark
+	// messages depend on a state or a snapshot of the batch.
+	messages []raft.Message
+}
+
+func (b *batch) empty() bool { return b.snapshot == nil && b.state == nil && len(b.entries) == 0 }
+
+// holds reports whether messages must wait for the batch.
+func (b *batch) holds() bool { return b.snapshot != nil || b.state != nil }
+
+// written is the end of a write.
+type written struct {
+	batch batch
+	took  time.Duration
+	err   error
+}
+
+// writer writes batches on a goroutine of its own, so that the loop never waits for the disk. While one
+// is written, the next is gathered. Its methods belong to the loop.
+type writer struct {
+	store *disk.Store
+	next  batch
+	// writing is the batch that is being written.
+	writing *batch
+	batches chan batch
+	results chan written
+}
+
+func newWriter(store *disk.Store) *writer {
+	return &writer{store: store, batches: make(chan batch, 1), results: make(chan written, 1)}
+}
+
+// run writes batches until ctx ends.
+func (w *writer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-w.batches:
+			began := time.Now()
+			err := w.write(b)
+			w.results <- written{batch: b, took: time.Since(began), err: err}
+		}
+	}
+}
+
+func (w *writer) write(b batch) error {
+	if b.snapshot != nil {
+		if err := w.store.Compact(*b.snapshot, b.baseState, b.tail); err != nil {
+			return err
+		}
+	}
+	if b.state == nil && len(b.entries) == 0 {
+		return nil
+	}
+	return w.store.Append(b.at, b.state, b.entries)
+}
+
+// add adds the writes of an output to the next batch.
+func (w *writer) add(now time.Time, out raft.Output, m *raft.Machine) {
+	if out.Installed != nil {
+		w.replace(*out.Installed, m)
+		return
+	}
+	if out.State == nil && len(out.Entries) == 0 {
+		return
+	}
+	if out.State != nil {
+		w.next.state = out.State
+	}
+	if len(w.next.entries) == 0 {
+		w.next.at = now
+	}
+	w.next.entries = append(w.next.entries, out.Entries...)
+	w.next.mark = m.Mark()
+}
+
+// replace has the next batch replace the folder's contents by a snapshot and what the log holds after
+// it.
+func (w *writer) replace(s raft.Snapshot, m *raft.Machine) {
+	w.next.snapshot, w.next.baseState, w.next.tail = &s, m.HardState(), m.Tail()
+	w.next.state, w.next.entries = nil, nil
+	w.next.mark = m.Mark()
+}
+
+// hold keeps messages until what they depend on is written. It returns false if they can be sent now.
+func (w *writer) hold(msgs []raft.Message) bool {
+	switch {
+	case w.next.holds():
+		w.next.messages = append(w.next.messages, msgs...)
+	case w.writing != nil && w.writing.holds():
+		w.writing.messages = append(w.writing.messages, msgs...)
+	default:
+		return false
+	}
+	return true
+}
+
+// start hands the next batch over, unless one is being written.
+func (w *writer) start() {
+	if w.writing != nil || w.next.empty() {
+		return
+	}
+	b := w.next
+	w.writing, w.next = &b, batch{}
+	w.batches <- b
+}
+
+// finish ends the batch that was written, and returns the messages that have waited for it.
+func (w *writer) finish() []raft.Message {
+	msgs := w.writing.messages
+	w.writing = nil
+	return msgs
+}
+
+// finishWrite handles the end of a write.
+func (h *Host) finishWrite(now time.Time, res written) {
+	msgs := h.writer.finish()
+	if h.failed {
+		return
+	}
+	if res.err != nil {
+		h.fail(res.err)
+		return
+	}
+	h.metrics.recordSync(len(res.batch.entries), res.took)
+	if res.took >= slowSync {
+		h.metrics.recordSlowSync()
+		h.log.Warn("control: the disk is slow; what the group accepts waits for it", zap.Duration("took", res.took), zap.Int("entries", len(res.batch.entries)))
+	}
+	h.machine.Stable(now, res.batch.mark)
+	h.send(msgs)
+}
--- a/io/disk/doc.go
+++ b/io/disk/doc.go
@@ -10,5 +10,5 @@
 // # Usage
 //
 //	s, id, saved, err := disk.Open(disk.OS(), "/var/lib/dotterelgap")
-//	err = s.Append(state, entries) // returns once the entries are synced
+//	err = s.Append(time.Now(), state, entries) // returns once the entries are synced
 package disk
--- a/io/disk/power_test.go
+++ b/io/disk/power_test.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"slices"
 	"testing"
+	"time"
 
 	"dotterelgap/core/raft"
 	"dotterelgap/io/disk"
@@ -64,12 +65,12 @@
 			"append": func(t *rapid.T) {
 				next := f.known
 				next.Entries = append(slices.Clip(next.Entries), entry(f.last()+1, next.State.Term))
-				f.run(t, next, func() error { return f.store.Append(nil, next.Entries[len(next.Entries)-1:]) })
+				f.run(t, next, func() error { return f.store.Append(time.Now(), nil, next.Entries[len(next.Entries)-1:]) })
 			},
 			"vote": func(t *rapid.T) {
 				next := f.known
 				next.State = raft.State{Term: next.State.Term + 1, Vote: 3}
-				f.run(t, next, func() error { return f.store.Append(&next.State, nil) })
+				f.run(t, next, func() error { return f.store.Append(time.Now(), &next.State, nil) })
 			},
 			"compact": func(t *rapid.T) {
 				next := f.known
@@ -213,7 +214,7 @@
 		is.NoErr(err)
 		is.Equal(len(saved.Entries), i)
 		p.callsLeft = 1
-		is.True(s.Append(nil, []raft.Entry{entry(uint64(i)+2, 1)}) != nil) // killed before the sync
+		is.True(s.Append(time.Now(), nil, []raft.Entry{entry(uint64(i)+2, 1)}) != nil) // killed before the sync
 		p.callsLeft = -1
 	}
 	log := p.names[dir+"/log"]
--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -22,7 +22,7 @@
 type record struct {
 	State   *raft.State  `cbor:"1,keyasint,omitempty"`
 	Entries []raft.Entry `cbor:"2,keyasint,omitempty"`
-	// At is the time of day just before the batch was written.
+	// At is the time of day at which the first entry of the batch reached the host.
 	At time.Time `cbor:"3,keyasint"`
 	// Written is set in the first record of a compacted log. It contains the write times
 	// of the last entries of recent terms, including entries that were compacted.
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -182,13 +182,14 @@
 	return written
 }
 
-// Append writes a batch and returns once it is synced. After an error, the store rejects
-// all writes, because the state of the file after a failed sync is unknown.
-func (s *Store) Append(state *raft.State, entries []raft.Entry) error {
+// Append writes a batch and returns once it is synced. at is when the first of the entries reached
+// this host. An entry replaces those of its index and after it. After an error, the store rejects all
+// writes, because the state of the file after a failed sync is unknown.
+func (s *Store) Append(at time.Time, state *raft.State, entries []raft.Entry) error {
 	if s.failed != nil {
 		return s.failed
 	}
-	r := record{State: state, Entries: entries, At: time.Now()}
+	r := record{State: state, Entries: entries, At: at.Round(0)}
 	s.written = updateWritten(s.written, r)
 	payload, err := codec.Marshal(r)
 	if err != nil {
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -76,7 +76,7 @@
 	for i := range n {
 		es = append(es, entry(f.last()+uint64(i)+1, f.want.State.Term))
 	}
-	if err := f.store.Append(nil, es); err != nil {
+	if err := f.store.Append(time.Now(), nil, es); err != nil {
 		t.Fatal(err)
 	}
 	f.want.Entries = append(f.want.Entries, es...)
@@ -84,7 +84,7 @@
 
 func (f *crashTest) vote(t *rapid.T) {
 	s := raft.State{Term: f.want.State.Term + 1, Vote: 3}
-	if err := f.store.Append(&s, nil); err != nil {
+	if err := f.store.Append(time.Now(), &s, nil); err != nil {
 		t.Fatal(err)
 	}
 	f.want.State = s
@@ -119,12 +119,12 @@
 // crashInAppend tears an unsynced write, of which nothing may remain.
 func (f *crashTest) crashInAppend(t *rapid.T) {
 	f.fs.failSync = true
-	err := f.store.Append(nil, []raft.Entry{entry(f.last()+1, 99)})
+	err := f.store.Append(time.Now(), nil, []raft.Entry{entry(f.last()+1, 99)})
 	if err == nil {
 		t.Fatal("Append ignored a failed sync")
 	}
 	f.fs.failSync = false
-	if err := f.store.Append(nil, []raft.Entry{entry(f.last()+1, 99)}); err == nil {
+	if err := f.store.Append(time.Now(), nil, []raft.Entry{entry(f.last()+1, 99)}); err == nil {
 		t.Fatal("store accepted entries after a failed sync")
 	}
 	f.fs.crash(rapid.IntRange(0, 20).Draw(t, "tear"), rapid.Bool().Draw(t, "garble"), true)
@@ -138,7 +138,7 @@
 	s, _, _, err := disk.Open(m, dir)
 	is.NoErr(err)
 	for i := range uint64(3) {
-		is.NoErr(s.Append(nil, []raft.Entry{entry(i+2, 1)}))
+		is.NoErr(s.Append(time.Now(), nil, []raft.Entry{entry(i+2, 1)}))
 	}
 	m.names[dir+"/log"].data[20] ^= 1
 	_, _, _, err = disk.Open(m, dir)
@@ -170,7 +170,7 @@
 	is.Equal(len(saved.Written), 0)
 	before := time.Now()
 	for i := range 4 {
-		is.NoErr(s.Append(nil, []raft.Entry{{Index: uint64(2 + i), Term: uint64(1 + i/2)}}))
+		is.NoErr(s.Append(time.Now(), nil, []raft.Entry{{Index: uint64(2 + i), Term: uint64(1 + i/2)}}))
 	}
 	tail := []raft.Entry{{Index: 5, Term: 2}}
 	is.NoErr(s.Compact(raft.Snapshot{Index: 4, Term: 2}, raft.State{Term: 2}, tail))
