Give elections the time that slow disks need for votes

Cause: a candidate waits for one election timeout, 0.5 to 1 s. Its own vote must be on its disk before it asks, and the other's before it is told: two syncs, four if both wait for one in progress. With 600 ms nobody is ever elected; each new term costs more syncs.

Change: the host tells its log machine how long writes take (the longest recent one, which fades; at first what the sync of the log took when it was opened), and a candidate waits for four of them more, a voter for two. Followers of a leader wait as long as before: its heartbeats don't wait for disks.

--- a/core/raft/busy_test.go
+++ b/core/raft/busy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"dotterelgap/core/raft"
 
@@ -30,3 +31,26 @@
 	}
 	is.True(l.machine.Status().Members.IsVoter(fresh.id))
 }
+
+// Guards against members that stay without a leader beside disks that are slower than an election
+// timeout: a candidate gave up before its own vote and another one were written.
+func TestSlowDisksElectALeader(t *testing.T) {
+	for _, delay := range []time.Duration{100, 300, 600, 1000} {
+		delay *= time.Millisecond
+		t.Run(delay.String(), func(t *testing.T) {
+			is := is.New(t)
+			g := newGroup(3, t.Fatalf)
+			for _, h := range g.hosts {
+				h.disk.delay = delay
+				h.machine.SetWriteTime(delay)
+			}
+			begin := g.now
+			for g.leader() == nil && g.now.Sub(begin) < time.Minute {
+				g.settle(1)
+			}
+			took := g.now.Sub(begin)
+			t.Logf("a leader after %s", took)
+			is.True(took <= time.Second+4*delay)
+		})
+	}
+}
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -22,6 +22,7 @@
 	kind := KindPreVote
 	if role == Candidate {
 		m.setState(State{Term: term, Vote: m.self})
+		m.awaitedWrites = candidateWrites
 		kind = KindVote
 	}
 	for _, mem := range m.members.Members {
@@ -48,6 +49,7 @@
 	if msg.Term == m.state.Term && canVote && upToDate && m.role != Leader {
 		m.setState(State{Term: msg.Term, Vote: msg.From})
 		m.resetTimeout(now)
+		m.awaitedWrites = voterWrites
 		reply.Granted = true
 	}
 	m.send(reply)
--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -26,6 +26,12 @@
 	heartbeatsPerElection = 8
 	// firstElectionDivisor shortens the first election timeout after a start.
 	firstElectionDivisor = 2
+	// A vote takes two writes of the candidate and of a voter, if each waits for one that is in
+	// progress, and a voter waits for half of that.
+	candidateWrites = 4
+	voterWrites     = 2
+	// maxWriteTime bounds the write time that elections allow for.
+	maxWriteTime = 2 * time.Second
 	// maxEntriesPerAppend limits the entries of one append message.
 	maxEntriesPerAppend = 512
 	// defaultTakeLimit limits the committed entries of one Output, so that a member that
@@ -106,16 +112,20 @@
 	matched, acked uint64
 	// repliedRead is the latest read round of the leader that was replied to.
 	repliedRead uint64
+	// writeTime is how long a write takes; see SetWriteTime.
+	writeTime time.Duration
 
 	role        Role
 	leader      MemberID
 	lastContact time.Time // last message from the leader
 	timeout     time.Time // when the next election or heartbeat is due
-	votes       map[MemberID]bool
-	peers       map[MemberID]*progress
-	termStart   uint64
-	readSeq     uint64
-	reads       []pendingRead
+	// awaitedWrites is for how many writes an election is given more time.
+	awaitedWrites time.Duration
+	votes         map[MemberID]bool
+	peers         map[MemberID]*progress
+	termStart     uint64
+	readSeq       uint64
+	reads         []pendingRead
 	// transferTo is the member that the leadership is handed over to, or 0, until transferUntil.
 	transferTo    MemberID
 	transferUntil time.Time
@@ -217,7 +227,7 @@
 		m.tickLeader(now)
 		return
 	}
-	if now.Before(m.timeout) || !m.members.IsVoter(m.self) {
+	if now.Before(m.timeout.Add(m.awaitedWrites*m.writeTime)) || !m.members.IsVoter(m.self) {
 		return
 	}
 	m.campaign(now, PreCandidate)
@@ -260,6 +270,7 @@
 
 func (m *Machine) resetTimeout(now time.Time) {
 	m.timeout = now.Add(m.electionTimeout + time.Duration(m.rnd.Int64N(int64(m.electionTimeout))))
+	m.awaitedWrites = 0
 }
 
 func (m *Machine) setState(s State) {
@@ -349,6 +360,10 @@
 	return m.log.last()
 }
 
+// SetWriteTime sets how long a write to the disk takes at present. A member that waits for its own
+// vote or that of another to be written allows for it.
+func (m *Machine) SetWriteTime(d time.Duration) { m.writeTime = min(d, maxWriteTime) }
+
 // Compact replaces the log up to index, which must be applied, by a snapshot whose state
 // is data.
 func (m *Machine) Compact(index uint64, data []byte) Snapshot {
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -195,6 +195,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		h.machine.SetWriteTime(h.writer.duration(now))
 		h.machine.Tick(now)
 		h.runLeaderTasks(now)
 		h.watchLeader(now)
@@ -243,7 +244,7 @@
 	h.detectRoleChange(now)
 	h.compact()
 	if !h.failed {
-		h.writer.start()
+		h.writer.start(now)
 	}
 }
 
--- a/io/ctrl/writer.go
+++ b/io/ctrl/writer.go
@@ -43,14 +43,17 @@
 type writer struct {
 	store *disk.Store
 	next  batch
-	// writing is the batch that is being written.
-	writing *batch
-	batches chan batch
-	results chan written
+	// writing is the batch that is being written, and writeSince when that began.
+	writing    *batch
+	writeSince time.Time
+	batches    chan batch
+	results    chan written
+	// typical is the longest recent write, which fades.
+	typical time.Duration
 }
 
 func newWriter(store *disk.Store) *writer {
-	return &writer{store: store, batches: make(chan batch, 1), results: make(chan written, 1)}
+	return &writer{store: store, typical: store.OpenTime(), batches: make(chan batch, 1), results: make(chan written, 1)}
 }
 
 // run writes batches until ctx ends.
@@ -120,25 +123,35 @@
 }
 
 // start hands the next batch over, unless one is being written.
-func (w *writer) start() {
+func (w *writer) start(now time.Time) {
 	if w.writing != nil || w.next.empty() {
 		return
 	}
 	b := w.next
-	w.writing, w.next = &b, batch{}
+	w.writing, w.writeSince, w.next = &b, now, batch{}
 	w.batches <- b
 }
 
 // finish ends the batch that was written, and returns the messages that have waited for it.
-func (w *writer) finish() []raft.Message {
+func (w *writer) finish(res written) []raft.Message {
 	msgs := w.writing.messages
 	w.writing = nil
+	const fade = 8
+	w.typical = max(res.took, w.typical-w.typical/fade)
 	return msgs
 }
 
+// duration returns how long a write takes at present: the longest recent one, or the one in progress.
+func (w *writer) duration(now time.Time) time.Duration {
+	if w.writing == nil {
+		return w.typical
+	}
+	return max(w.typical, now.Sub(w.writeSince))
+}
+
 // finishWrite handles the end of a write.
 func (h *Host) finishWrite(now time.Time, res written) {
-	msgs := h.writer.finish()
+	msgs := h.writer.finish(res)
 	if h.failed {
 		return
 	}
--- a/io/ctrl/writer_test.go
+++ b/io/ctrl/writer_test.go
@@ -32,10 +32,10 @@
 		return out, w.hold(out.Messages)
 	}
 	finish := func() []raft.Message {
-		w.start()
+		w.start(now)
 		b := <-w.batches
 		is.NoErr(w.write(b))
-		msgs := w.finish()
+		msgs := w.finish(written{batch: b})
 		m.Stable(now, b.mark)
 		return msgs
 	}
@@ -46,13 +46,13 @@
 	m.Step(now, raft.Message{Kind: raft.KindPreVoteReply, From: 2, To: 1, Term: 1, Granted: true})
 	_, waits = take()
 	is.True(waits) // the candidate's own vote
-	w.start()
+	w.start(now)
 	m.Step(now, raft.Message{Kind: raft.KindPreVote, From: 2, To: 1, Term: 9})
 	_, waits = take()
 	is.True(waits) // a reply that names the new term
 	b := <-w.batches
 	is.NoErr(w.write(b))
-	sent := w.finish()
+	sent := w.finish(written{batch: b})
 	is.Equal(len(sent), 2)
 	is.Equal(sent[0].Kind, raft.KindVote)
 	m.Stable(now, b.mark)
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -31,6 +31,8 @@
 	written map[uint64]raft.Written
 	// failed is the first write error. After it, nothing may be acknowledged.
 	failed error
+	// openTime is how long the sync of the log took when it was opened.
+	openTime time.Duration
 }
 
 // Identity is the permanent identity of a data folder.
@@ -126,9 +128,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	began := time.Now()
 	if err = f.Truncate(size); err == nil {
 		err = f.Sync()
 	}
+	s.openTime = time.Since(began)
 	if err == nil {
 		err = s.fs.SyncDir(s.dir)
 	}
@@ -224,6 +228,10 @@
 	return s.fail(err)
 }
 
+// OpenTime returns how long the log file took to sync when it was opened: an early hint at how slow the
+// disk is.
+func (s *Store) OpenTime() time.Duration { return s.openTime }
+
 // Close closes the log file.
 func (s *Store) Close() error {
 	return trace.Wrap(s.log.Close())
