Put the departures of a control host's own log in force before there is a leader

Change: at its start a host announces the departures of all entries that it reads. Whether they are committed does not matter for that: the upstream has said that it leaves. They don't count as recorded, so a repeated leave still goes to the leader.

TestSavedDeparturesNeedNoLeader fails without the change (mutant).

--- a/core/state/depart.go
+++ b/core/state/depart.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelgap/core/codec"
 	"dotterelgap/core/fleet"
 )
 
@@ -42,6 +43,16 @@
 	}
 }
 
+// DepartureOf returns the departure that an entry of the log records, or nil. It decodes nothing else
+// of the entry.
+func DepartureOf(data []byte) (*fleet.Departure, error) {
+	var c struct {
+		Depart *fleet.Departure `cbor:"depart"`
+	}
+	err := codec.Unmarshal(data, &c)
+	return c.Depart, err
+}
+
 func (m *Machine) forgetOldestDeparture() {
 	var oldest fleet.UpstreamKey
 	for key, d := range m.Departures {
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -60,6 +60,9 @@
 	OnEvacuations func(fleet.Evacuations)
 	// OnDepartures is called on the loop with departures that were recorded.
 	OnDepartures func([]fleet.Departure)
+	// OnSavedDepartures is called at the start with the departures of the log's entries, be they
+	// committed or not.
+	OnSavedDepartures func([]fleet.Departure)
 	// Fatal is called once the disk has failed. The host must be closed then.
 	Fatal func(error)
 }
@@ -143,9 +146,13 @@
 	if h.deps.OnDepartures == nil {
 		h.deps.OnDepartures = func([]fleet.Departure) {}
 	}
+	if h.deps.OnSavedDepartures == nil {
+		h.deps.OnSavedDepartures = func([]fleet.Departure) {}
+	}
 	if err := h.restore(deps.Saved.Snapshot); err != nil {
 		return nil, err
 	}
+	h.announceSaved(deps.Saved.Entries)
 	h.machine = raft.New(raft.Params{
 		Self: deps.Identity.Member, Saved: deps.Saved, Rand: deps.Rand,
 		Now: time.Now(), ElectionTimeout: deps.ElectionTimeout,
--- a/io/node/host.go
+++ b/io/node/host.go
@@ -78,7 +78,8 @@
 		Log: r.n.log, Store: f.Store, Identity: f.Identity, Saved: f.Saved, Pool: r.n.deps.Pool, Addr: r.n.self,
 		Size: r.n.deps.Size, Rand: r.rand, Quota: r.n.deps.Quota, Replace: true,
 		OnPolicy: r.n.offer, OnEvacuations: r.n.applyEvacuations, OnDepartures: r.n.applyDepartures,
-		Fatal: func(err error) { failed <- err },
+		OnSavedDepartures: func(list []fleet.Departure) { r.n.mesh.Depart(list...) },
+		Fatal:             func(err error) { failed <- err },
 	})
 	if err != nil {
 		return err
