End a node within its stop timeout though its disk hangs

What was seen: a node ended 11 s after SIGTERM behind a sync of 3.9 s (docs/findings.md); with a disk that hangs for 30 s, it ends after 29.6 s, and the platform kills it before.

Cause: Node.Close waits for all of its goroutines, whatever its context says, and the control host and the keeper wait for their writes.

Change: a node that stops waits for a second for what is left to end. By then its requests are done, its budgets given back and its vote handed over; an entry that is still being written was acknowledged to nobody by this host.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -285,13 +285,33 @@
 // SetSeeds replaces the seeds.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) { n.mesh.SetSeeds(seeds) }
 
+// diskWait is how long a node that stops waits for a write that is in progress.
+const diskWait = time.Second
+
+// awaitEnd waits until everything that the node has started has ended, for diskWait at most: a write to a
+// disk that hangs can't be ended, and what it would make durable was promised to nobody.
+func (n *Node) awaitEnd(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, diskWait)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		n.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		n.log.Warn("node: stopping without waiting for the disk, which hangs")
+	}
+}
+
 // budgetReturnTime is the part of the shutdown time that is reserved for giving back the
 // budgets. Tokens that are not given back are billed.
 const budgetReturnTime = 700 * time.Millisecond
 
 // Close marks the node as draining, hands over the control host's vote, finishes the requests in
-// progress until budgetReturnTime before ctx ends, gives the budgets back and stops the node. It returns 1
-// and an error if it aborted requests, else 0.
+// progress until budgetReturnTime before ctx ends, gives the budgets back and stops the node. It waits for
+// a disk that hangs for a second at most. It returns 1 and an error if it aborted requests, else 0.
 func (n *Node) Close(ctx context.Context) (int, error) {
 	n.mesh.Update(true, func(p *fleet.Peer) { p.Draining = true })
 	serve, cancel := ctx, context.CancelFunc(func() {})
@@ -312,7 +332,7 @@
 	}
 	n.cancel()
 	_ = n.updates.conn.Close()
-	n.wg.Wait()
+	n.awaitEnd(ctx)
 	_ = n.mesh.Close()
 	_ = n.conns.Close()
 	_ = n.deps.Server.Close(ctx)
