Hand the leadership over, and complete replacements, beside slow disks

Cause: a leader that hands its leadership over takes no proposals for one election timeout and then goes on. The next leader's vote and one other must be on disks by then; with syncs of 250 ms or more that never fits, and the leader stopped the group's work again and again until it ended. And VoterCaughtUp, on which a replacement's completion rests, asked for a voter that lacks no entry at that moment, as Promote did.

Change: a transfer may take the time that votes take to be written, as an election may; a voter that keeps up is enough.

TestTransferBesideSlowDisks fails without the change, TestReplacementIsCompleteWhileTheLogGrows too (mutants).

--- a/core/raft/busy_test.go
+++ b/core/raft/busy_test.go
@@ -54,3 +54,44 @@
 		})
 	}
 }
+
+// Guards against a leader that can't hand its leadership over beside slow disks: it went on before the
+// votes for the next one were written, and tried again and again.
+func TestTransferBesideSlowDisks(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(3, t.Fatalf)
+	g.settle(40)
+	const delay = 600 * time.Millisecond
+	for _, h := range g.hosts {
+		h.disk.delay = delay
+		h.machine.SetWriteTime(delay)
+	}
+	l, to := g.leader(), g.follower()
+	g.propose(l)
+	g.settle(1)
+	g.step(l, func(m *raft.Machine) { is.NoErr(m.Transfer(g.now, to.id)) })
+	begin := g.now
+	for g.leader() != to && g.now.Sub(begin) < time.Minute {
+		g.settle(1)
+	}
+	is.True(g.now.Sub(begin) < time.Second+4*delay)
+}
+
+// Guards against a replacement that is never complete beside a busy log: there is always an entry that
+// one of the voters lacks.
+func TestReplacementIsCompleteWhileTheLogGrows(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(3, t.Fatalf)
+	g.settle(40)
+	l, other := g.leader(), g.follower()
+	other.disk.delay = 200 * time.Millisecond
+	complete := 0
+	for range 100 {
+		g.propose(l)
+		g.settle(1)
+		if l.machine.VoterCaughtUp(g.now, other.id) {
+			complete++
+		}
+	}
+	is.Equal(complete, 100)
+}
--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -77,14 +77,10 @@
 	return m.role == Leader && !m.changePending() && !m.members.IsVoter(id)
 }
 
-// VoterCaughtUp reports whether a voter has every committed entry on its disk, so that
-// any one other member may be lost.
-func (m *Machine) VoterCaughtUp(id MemberID) bool {
-	if m.role != Leader || !m.members.IsVoter(id) || m.membersIndex > m.commitIndex {
-		return false
-	}
-	p, ok := m.peers[id]
-	return ok && p.matchIndex >= m.commitIndex
+// VoterCaughtUp reports whether a voter keeps up with the log, so that any one other member may be
+// lost.
+func (m *Machine) VoterCaughtUp(now time.Time, id MemberID) bool {
+	return m.role == Leader && m.members.IsVoter(id) && m.membersIndex <= m.commitIndex && m.caughtUp(now, id)
 }
 
 // SinceLastReply returns the time since a member last replied to this leader.
--- a/core/raft/transfer.go
+++ b/core/raft/transfer.go
@@ -4,7 +4,7 @@
 
 // Transfer hands the leadership over to a voter: this member takes no more proposals, and asks
 // the voter to campaign once it has the whole log. If it does not lead within the election
-// timeout, this member goes on as the leader.
+// timeout, and the time that a vote takes to be written, this member goes on as the leader.
 func (m *Machine) Transfer(now time.Time, to MemberID) error {
 	if m.role != Leader {
 		return &NotLeaderError{Leader: m.leader}
@@ -12,7 +12,7 @@
 	if to == m.self || !m.members.IsVoter(to) {
 		return &UnknownMemberError{Member: to}
 	}
-	m.transferTo, m.transferUntil = to, now.Add(m.electionTimeout)
+	m.transferTo, m.transferUntil = to, now.Add(m.electionTimeout+candidateWrites*m.writeTime)
 	m.replicate(now, to, false)
 	m.continueTransfer(now)
 	return nil
--- a/io/ctrl/report.go
+++ b/io/ctrl/report.go
@@ -181,7 +181,7 @@
 		if !m.Voter {
 			return admin.ReplaceReply{Message: "waiting for the new host to become a voter"}
 		}
-		if m.ID != status.Self && !h.machine.VoterCaughtUp(m.ID) {
+		if m.ID != status.Self && !h.machine.VoterCaughtUp(now, m.ID) {
 			return admin.ReplaceReply{Message: fmt.Sprintf("waiting for %x to catch up with the log", uint64(m.ID))}
 		}
 	}
