Replace a voter whose disk hangs, though it replies to heartbeats

Change: a voter that has not had on its disk for 4 s what was committed then is replaced like a silent one, if a learner can take its vote. With all disks equally slow, up to two seconds a sync, nobody is replaced for that.

TestVoterWithAHangingDiskIsReplaced fails without the change (mutant).

--- a/core/raft/voters.go
+++ b/core/raft/voters.go
@@ -95,11 +95,11 @@
 	return n >= next.Quorum()
 }
 
-// retiring returns the voter to replace next: one that does not respond, or else one that
-// leaves. The latter can still vote, and comes back if it only restarts.
+// retiring returns the voter to replace next: one that does not respond or whose disk hangs, or else one
+// that leaves. The latter can still vote, and comes back if it only restarts.
 func (m *Machine) retiring(now time.Time, r VoterRules) (MemberID, bool) {
 	for _, mem := range m.members.Members {
-		if mem.Voter && r.ReplaceAfter > 0 && m.SinceLastReply(now, mem.ID) > r.ReplaceAfter {
+		if mem.Voter && r.ReplaceAfter > 0 && (m.SinceLastReply(now, mem.ID) > r.ReplaceAfter || m.writesNothing(now, mem.ID)) {
 			return mem.ID, true
 		}
 	}
@@ -131,6 +131,17 @@
 // a log that always grows is never whole on a disk that is slow.
 const lagsPerElection = 4
 
+// writesNothing reports whether a member replies, but has not had on its disk for a long time what was
+// committed then: twice the time for which one that keeps up may be behind.
+func (m *Machine) writesNothing(now time.Time, id MemberID) bool {
+	if id == m.self {
+		return false
+	}
+	p := m.progress(id, now)
+	m.measureLag(now, p)
+	return p.matchIndex < p.goal && now.Sub(p.goalAt) > 2*lagsPerElection*m.electionTimeout
+}
+
 // caughtUp reports whether a member keeps up with the log, and has replied within the election
 // timeout.
 func (m *Machine) caughtUp(now time.Time, id MemberID) bool {
--- a/core/raft/voters_test.go
+++ b/core/raft/voters_test.go
@@ -186,3 +186,19 @@
 	g.adjust(5)
 	is.Equal(g.leader().machine.Status().Members.Voters(), 3)
 }
+
+// Guards against a voter that replies to heartbeats, so that nothing replaces it, while its disk hangs.
+func TestVoterWithAHangingDiskIsReplaced(t *testing.T) {
+	is := is.New(t)
+	g, spare := newGroupWithSpare(t)
+	hung := g.follower()
+	hung.disk.hangs = true
+	for range 100 {
+		g.propose(g.leader())
+		g.adjust(1)
+	}
+	members := g.leader().machine.Status().Members
+	is.True(members.IsVoter(spare.id))
+	is.True(!members.IsVoter(hung.id))
+	is.Equal(members.Voters(), 3)
+}
