--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -26,7 +26,7 @@
 	tickInterval   = 20 * time.Millisecond
 	leaderInterval = 100 * time.Millisecond
 	suspectAfter   = 2 * time.Second
-	// slowSync is half of the shortest time after which an upstream gets no answer to a leave.
+	// slowSync is the time of a write from which on it is logged and counted as slow.
 	slowSync = 250 * time.Millisecond
 	// The log is compacted once the entries applied since the latest snapshot take
 	// compactFactor times the size of the snapshot, and at least compactBytes. With larger
--- a/io/ctrl/writer.go
+++ b/io/ctrl/writer.go
@@ -22,15 +22,14 @@
 	// at is when the first of the entries came, and mark covers the batch.
 	at   time.Time
 	mark raft.Mark
-	// messages depend on a state or a snapshot of the batch.
+	// holds is set if the batch contains a vote, a term or a leader's snapshot, for which messages wait.
+	// A snapshot that this host has made is no such thing: it replaces what is on the disk already.
+	holds    bool
 	messages []raft.Message
 }
 
 func (b *batch) empty() bool { return b.snapshot == nil && b.state == nil && len(b.entries) == 0 }
 
-// holds reports whether messages must wait for the batch.
-func (b *batch) holds() bool { return b.snapshot != nil || b.state != nil }
-
 // written is the end of a write.
 type written struct {
 	batch batch
@@ -86,13 +85,14 @@
 func (w *writer) add(now time.Time, out raft.Output, m *raft.Machine) {
 	if out.Installed != nil {
 		w.replace(*out.Installed, m)
+		w.next.holds = true
 		return
 	}
 	if out.State == nil && len(out.Entries) == 0 {
 		return
 	}
 	if out.State != nil {
-		w.next.state = out.State
+		w.next.state, w.next.holds = out.State, true
 	}
 	if len(w.next.entries) == 0 {
 		w.next.at = now
@@ -112,9 +112,9 @@
 // hold keeps messages until what they depend on is written. It returns false if they can be sent now.
 func (w *writer) hold(msgs []raft.Message) bool {
 	switch {
-	case w.next.holds():
+	case w.next.holds:
 		w.next.messages = append(w.next.messages, msgs...)
-	case w.writing != nil && w.writing.holds():
+	case w.writing != nil && w.writing.holds:
 		w.writing.messages = append(w.writing.messages, msgs...)
 	default:
 		return false
--- a/io/ctrl/writer_test.go
+++ b/io/ctrl/writer_test.go
@@ -60,6 +60,10 @@
 	out, waits := take()
 	is.True(!waits) // the leader's first entry is sent while it is written
 	is.Equal(len(out.Entries), 1)
+	w.replace(m.Compact(1, nil), m)
+	m.Step(now, raft.Message{Kind: raft.KindPreVote, From: 2, To: 1, Term: 9})
+	_, waits = take()
+	is.True(!waits) // nothing depends on the host's own snapshot
 	is.Equal(len(finish()), 0)
 	_, _, reread, err := disk.Open(disk.OS(), dir)
 	is.NoErr(err)
