--- a/io/ctrl/writer.go
+++ b/io/ctrl/writer.go
@@ -10,6 +10,9 @@
 	"go.uber.org/zap"
 )
 
+// heldLimit bounds the messages that wait for one batch.
+const heldLimit = 1024
+
 // batch is what is written to the data folder at once, with one sync of the log file.
 type batch struct {
 	// snapshot, with the state and the entries after it at that time, replaces the folder's contents
@@ -17,9 +20,11 @@
 	snapshot  *raft.Snapshot
 	baseState raft.State
 	tail      []raft.Entry
-	state     *raft.State
-	entries   []raft.Entry
-	// at is when the first of the entries came, and mark covers the batch.
+	// covered are entries that the snapshot and tail hold, and that were not written before.
+	covered []raft.Entry
+	state   *raft.State
+	entries []raft.Entry
+	// at is when the first of the entries, the covered ones included, came. mark covers the batch.
 	at   time.Time
 	mark raft.Mark
 	// holds is set if the batch contains a vote, a term or a leader's snapshot, for which messages wait.
@@ -71,6 +76,7 @@
 
 func (w *writer) write(b batch) error {
 	if b.snapshot != nil {
+		w.store.NoteTimes(b.at, b.covered)
 		if err := w.store.Compact(*b.snapshot, b.baseState, b.tail); err != nil {
 			return err
 		}
@@ -94,7 +100,7 @@
 	if out.State != nil {
 		w.next.state, w.next.holds = out.State, true
 	}
-	if len(w.next.entries) == 0 {
+	if len(w.next.entries)+len(w.next.covered) == 0 {
 		w.next.at = now
 	}
 	w.next.entries = append(w.next.entries, out.Entries...)
@@ -105,20 +111,23 @@
 // it.
 func (w *writer) replace(s raft.Snapshot, m *raft.Machine) {
 	w.next.snapshot, w.next.baseState, w.next.tail = &s, m.HardState(), m.Tail()
+	w.next.covered = append(w.next.covered, w.next.entries...)
 	w.next.state, w.next.entries = nil, nil
 	w.next.mark = m.Mark()
 }
 
 // hold keeps messages until what they depend on is written. It returns false if they can be sent now.
 func (w *writer) hold(msgs []raft.Message) bool {
+	b := &w.next
 	switch {
 	case w.next.holds:
-		w.next.messages = append(w.next.messages, msgs...)
 	case w.writing != nil && w.writing.holds:
-		w.writing.messages = append(w.writing.messages, msgs...)
+		b = w.writing
 	default:
 		return false
 	}
+	// Beyond the limit they are dropped, as a network may do, while the disk hangs.
+	b.messages = append(b.messages, msgs[:min(len(msgs), heldLimit-len(b.messages))]...)
 	return true
 }
 
--- a/io/ctrl/writer_test.go
+++ b/io/ctrl/writer_test.go
@@ -71,3 +71,35 @@
 	is.Equal(len(reread.Entries), 1)
 	is.NoErr(store.Close())
 }
+
+// Guards against entries whose time is forgotten since a snapshot comes between them and their write: what
+// a dead holder is billed rests on it.
+func TestTimesOfEntriesCoveredByASnapshot(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	dir := t.TempDir()
+	is.NoErr(disk.Create(disk.OS(), dir, disk.Identity{Member: 1}, raft.Bootstrap(raft.Member{ID: 1}).Snapshot))
+	store, _, saved, err := disk.Open(disk.OS(), dir)
+	is.NoErr(err)
+	m := raft.New(raft.Params{Self: 1, Saved: saved, Rand: rand.New(rand.NewPCG(1, 1)), Now: now})
+	w := newWriter(store)
+	m.Tick(now)
+	w.add(now, m.Take(), m)
+	w.replace(m.Compact(1, nil), m)
+	w.start(now)
+	is.NoErr(w.write(<-w.batches))
+	is.NoErr(store.Close())
+	_, _, saved, err = disk.Open(disk.OS(), dir)
+	is.NoErr(err)
+	is.True(saved.Written[m.HardState().Term].At.Equal(now))
+}
+
+// Guards against messages that pile up for as long as a disk hangs.
+func TestMessagesThatWaitAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := &writer{next: batch{holds: true}}
+	for range 3 * heldLimit {
+		is.True(w.hold(make([]raft.Message, 2)))
+	}
+	is.Equal(len(w.next.messages), heldLimit)
+}
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -206,6 +206,11 @@
 	return s.fail(s.log.Sync())
 }
 
+// NoteTimes records when entries reached this host that are only written by the next Compact.
+func (s *Store) NoteTimes(at time.Time, entries []raft.Entry) {
+	s.written = updateWritten(s.written, record{At: at.Round(0), Entries: entries})
+}
+
 // Compact replaces the snapshot and the log. It writes the snapshot first: a crash before
 // the log is replaced is harmless, since Open skips log entries below the snapshot.
 func (s *Store) Compact(snap raft.Snapshot, state raft.State, tail []raft.Entry) error {
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -172,13 +172,14 @@
 	for i := range 4 {
 		is.NoErr(s.Append(time.Now(), nil, []raft.Entry{{Index: uint64(2 + i), Term: uint64(1 + i/2)}}))
 	}
-	tail := []raft.Entry{{Index: 5, Term: 2}}
+	s.NoteTimes(time.Now(), []raft.Entry{{Index: 6, Term: 3}})
+	tail := []raft.Entry{{Index: 5, Term: 2}, {Index: 6, Term: 3}}
 	is.NoErr(s.Compact(raft.Snapshot{Index: 4, Term: 2}, raft.State{Term: 2}, tail))
 	is.NoErr(s.Close())
 	_, _, saved, err = disk.Open(fsys, dir)
 	is.NoErr(err)
-	is.Equal(len(saved.Entries), 1)
-	for term, index := range map[uint64]uint64{1: 3, 2: 5} {
+	is.Equal(len(saved.Entries), 2)
+	for term, index := range map[uint64]uint64{1: 3, 2: 5, 3: 6} {
 		is.Equal(saved.Written[term].Index, index)
 		is.True(!saved.Written[term].At.Before(before.Round(0)))
 	}
