--- a/core/raft/machine.go
+++ b/core/raft/machine.go
@@ -26,8 +26,8 @@
 	heartbeatsPerElection = 8
 	// firstElectionDivisor shortens the first election timeout after a start.
 	firstElectionDivisor = 2
-	// A vote takes two writes of the candidate and of a voter, if each waits for one that is in
-	// progress, and a voter waits for half of that.
+	// A candidate waits for its own vote and for another one, a voter for its own. Each may have to wait
+	// for a write that is in progress.
 	candidateWrites = 4
 	voterWrites     = 2
 	// maxWriteTime bounds the write time that elections allow for.
--- a/io/ctrl/doc.go
+++ b/io/ctrl/doc.go
@@ -3,8 +3,8 @@
 // machine, and serves the other processes and the operators.
 //
 // One goroutine, the loop, owns all state. RPC handlers post tasks to it through a
-// bounded queue. Tasks that are queued while one batch is synced to disk share the
-// next sync.
+// bounded queue. Another goroutine, the writer, writes what the loop has gathered with one
+// sync, while the loop goes on and gathers the next batch (docs/design/disks.md).
 //
 // # Usage
 //
