--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,7 +26,7 @@
 }
 
 // cases are the cases by name. Each returns an exit code.
-var cases = map[string]func(*play) int{"tenant": (*play).tenantCase, "retry": (*play).retryCase, "reader": (*play).readerCase}
+var cases = map[string]func(*play) int{"tenant": (*play).tenantCase, "retry": (*play).retryCase, "reader": (*play).readerCase, "funds": (*play).fundsCase}
 
 func main() { os.Exit(run()) }
 
--- a/review/standin-3/tenant.go
+++ b/review/standin-3/tenant.go
@@ -34,15 +34,16 @@
 	tenantTail = 6 * time.Second
 )
 
-// tenantConfiguration returns a configuration with or without the tenant kasur, and with some routes more.
-func tenantConfiguration(version, routes int, kasur bool) string {
+// tenantConfiguration returns a configuration with some routes more and the prepaid amount of the tenant kasur, or
+// without that tenant if the amount is 0.
+func tenantConfiguration(version, routes, kasur int) string {
 	var extra strings.Builder
 	for i := range routes {
 		fmt.Fprintf(&extra, `{"name":"r-extra%d","host":"plan.example","path_prefix":"/extra%d/","kind":"safe","timeout_ms":800,"slo_ms":150,"priority":2,"service":"model","attempts":1,"public":false,"sticky":true,"resumable":false,"gap_slo_ms":300},`, i, i)
 	}
 	tenants := `{"name":"pattoki","api_keys":["key-pattoki"],"priority":1,"prepaid":500000}`
-	if kasur {
-		tenants += fmt.Sprintf(`,{"name":"kasur","api_keys":["key-kasur"],"priority":1,"prepaid":%d}`, prepaid)
+	if kasur > 0 {
+		tenants += fmt.Sprintf(`,{"name":"kasur","api_keys":["key-kasur"],"priority":1,"prepaid":%d}`, kasur)
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[%s
 {"name":"r-plan","host":"plan.example","path_prefix":"/plan/","kind":"stream","timeout_ms":6000,"slo_ms":800,"priority":1,"service":"model","attempts":1,"public":false,"sticky":true,"resumable":false,"gap_slo_ms":300}],
@@ -59,6 +60,9 @@
 	// consumed counts what whole answers have brought to the tenant: the prompt once, and the events.
 	consumed int
 	answers  map[string]int
+	// begun counts the requests that got a part of an answer, ended all, wholeAnswers those with a
+	// whole answer.
+	begun, ended, wholeAnswers int
 }
 
 // tenantCase has a tenant use up its prepaid amount. Then two operators change the configuration at once, of whom
@@ -75,12 +79,12 @@
 		}
 		engines = append(engines, e)
 	}
-	if !p.setUp(tenantConfiguration(7, 0, true), engines) {
+	if !p.setUp(tenantConfiguration(7, 0, prepaid), engines) {
 		return cannotRun
 	}
 	var traffic sync.WaitGroup
 	done := make(chan struct{})
-	traffic.Go(func() { c.consume(done) })
+	traffic.Go(func() { c.consume(tenantRate, done) })
 	usedUp := c.awaitUsedUp(40 * time.Second)
 	before := c.tokens()
 	p.say("kasur has consumed %d of its %d tokens", before, prepaid)
@@ -108,15 +112,19 @@
 func (c *tenancy) race(version int) bool {
 	var first, second, again bool
 	var both sync.WaitGroup
-	send := func(operator string, version, node int, kasur bool) bool {
-		name := fmt.Sprintf("%s, version %d, with kasur: %t", operator, version, kasur)
+	send := func(operator string, version, node, kasur int) bool {
+		name := fmt.Sprintf("%s, version %d, kasur's amount %d", operator, version, kasur)
 		return c.f.publish(name, tenantConfiguration(version, version%5, kasur), node, 5*time.Second)
 	}
-	both.Go(func() { first = send("operator 1", version, 1, true) })
-	both.Go(func() { second = send("operator 2", version+1, 4, !c.trouble) })
+	base := prepaid
+	if c.trouble {
+		base = 0 // the second operator's base did not have the tenant
+	}
+	both.Go(func() { first = send("operator 1", version, 1, prepaid) })
+	both.Go(func() { second = send("operator 2", version+1, 4, base) })
 	both.Wait()
 	time.Sleep(raceGap)
-	again = send("operator 1", version+3, 2, true)
+	again = send("operator 1", version+3, 2, prepaid)
 	time.Sleep(raceGap)
 	return first && second && again
 }
@@ -140,7 +148,7 @@
 }
 
 // consume sends the tenant's requests at a steady rate, each on a new channel, until done is closed.
-func (c *tenancy) consume(done <-chan struct{}) {
+func (c *tenancy) consume(rate float64, done <-chan struct{}) {
 	client := &http.Client{Timeout: planDeadline, Transport: &http.Transport{DisableKeepAlives: true}}
 	var all sync.WaitGroup
 	defer all.Wait()
@@ -149,7 +157,7 @@
 		select {
 		case <-done:
 			return
-		case <-time.After(time.Until(begin.Add(time.Duration(float64(i) / tenantRate * float64(time.Second))))):
+		case <-time.After(time.Until(begin.Add(time.Duration(float64(i) / rate * float64(time.Second))))):
 		}
 		all.Go(func() { c.request(client) })
 	}
@@ -186,8 +194,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answers[answer]++
+	c.ended++
+	if events > 0 || answer[0] == '2' {
+		c.begun++
+	}
 	if answer == "200" && events == mostOutput/stride {
 		c.consumed += promptTokens + events*stride
+		c.wholeAnswers++
 	}
 }
 
